--- /dev/null
+++ b/cmd/hyssopstand/main.go
@@ -0,0 +1,4 @@
+// Command hyssopstand is described in the README.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/hyssopwall/main.go
@@ -0,0 +1,4 @@
+// Command hyssopwall is described in the README.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/platform/object/object.go
@@ -0,0 +1,126 @@
+// Package object defines the platform's object API as hyssopwall uses it:
+// versioned values, conditional updates and long-poll watches.
+//
+// Every call is counted by the platform, a waiting watch as one. A call can
+// time out after it has taken effect; that case is an [UnknownError], and the
+// caller must read back before it decides anything.
+package object
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// MaxValue is the largest value in bytes that the platform stores.
+const MaxValue = 1 << 20
+
+// Object is one stored value. Version is the revision of the whole store at
+// which the value was written; it grows with each write and is never reused.
+type Object struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value,omitempty"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// Batch is the answer of a list or of a watch: the objects and the revision
+// from which the next watch continues.
+type Batch struct {
+	Objects  []Object `json:"objects"`
+	Revision uint64   `json:"revision"`
+}
+
+// Reader holds the queries of the object API.
+type Reader interface {
+	// Get returns the object, or a *NotFoundError.
+	Get(ctx context.Context, key string) (Object, error)
+	// List returns all objects whose keys start with prefix, ordered by key.
+	List(ctx context.Context, prefix string) (Batch, error)
+	// Watch waits for changes under prefix after the given revision and
+	// returns them in order. It returns an empty batch when the platform ends
+	// the wait without a change.
+	Watch(ctx context.Context, prefix string, after uint64) (Batch, error)
+}
+
+// Writer holds the commands of the object API.
+type Writer interface {
+	// Put stores value when the object's version equals expect; zero means
+	// that the object must not exist. It returns a *ConflictError otherwise,
+	// and an *UnknownError when the answer was lost.
+	Put(ctx context.Context, key string, value []byte, expect uint64) (Object, error)
+	// Delete removes the object under the same condition as Put.
+	Delete(ctx context.Context, key string, expect uint64) error
+}
+
+// Store is the whole object API.
+type Store interface {
+	Reader
+	Writer
+}
+
+// NotFoundError says that no object has the key.
+type NotFoundError struct {
+	Key string
+}
+
+func (e *NotFoundError) Error() string {
+	return fmt.Sprintf("object %s not found", e.Key)
+}
+
+// ConflictError says that the object's version is Have, not Want. Nothing was
+// written.
+type ConflictError struct {
+	Key  string
+	Want uint64
+	Have uint64
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("object %s has version %d, not %d", e.Key, e.Have, e.Want)
+}
+
+// LimitError says that the platform refused the call for its rate. Nothing
+// was written. After is the wait that the platform asks for.
+type LimitError struct {
+	After time.Duration
+}
+
+func (e *LimitError) Error() string {
+	return fmt.Sprintf("platform rate limit, retry after %s", e.After)
+}
+
+// OutageError says that the platform refused the call or could not be
+// reached, and that the call certainly took no effect.
+type OutageError struct {
+	Err error
+}
+
+func (e *OutageError) Error() string { return "platform unavailable: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *OutageError) Unwrap() error { return e.Err }
+
+// UnknownError says that the outcome of a write is not known: it may have
+// taken effect.
+type UnknownError struct {
+	Key string
+	Err error
+}
+
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("outcome of write to %s unknown: %v", e.Key, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// SizeError says that a value is larger than MaxValue.
+type SizeError struct {
+	Key  string
+	Size int
+}
+
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("value of %s has %d bytes, more than %d", e.Key, e.Size, MaxValue)
+}
--- /dev/null
+++ b/internal/site/event/billing.go
@@ -0,0 +1,16 @@
+package event
+
+// The events of the area billing.
+const (
+	WindowSealed Number = 5001 + iota
+	WindowReported
+	UsageLate
+)
+
+func billingEvents() []Entry {
+	return []Entry{
+		{WindowSealed, Info, "usage window sealed", "Its end has passed and every known counter was read.", "Nothing."},
+		{WindowReported, Info, "usage window reported", "The platform acknowledged the report.", "Nothing."},
+		{UsageLate, Warning, "usage counted after sealing", "A host was cut off; the usage goes into a later window as an adjustment.", "Nothing."},
+	}
+}
--- /dev/null
+++ b/internal/site/event/entry.go
@@ -0,0 +1,20 @@
+package event
+
+// The events of the area entry.
+const (
+	KeyRefused Number = 1001 + iota
+	KeyWithdrawn
+	AnswerDropped
+	PoisonConvicted
+	RequestShed
+)
+
+func entryEvents() []Entry {
+	return []Entry{
+		{KeyRefused, Info, "request without a valid key refused", "The key is unknown, withdrawn, or belongs to another workspace.", "Nothing, unless a caller complains; then compare the key digest with the document."},
+		{KeyWithdrawn, Info, "streams of a withdrawn key ended", "The accepted document no longer lists the key.", "Nothing."},
+		{AnswerDropped, Warning, "answer of a backend server dropped", "The answer was late, crossed, short, or failed its digest.", "Look at the named backend server when this repeats."},
+		{PoisonConvicted, Warning, "request convicted of crashing backend servers", "Two backend servers crashed while they ran it, the second time alone.", "Tell the caller; the conviction expires by itself."},
+		{RequestShed, Info, "request shed", "Its deadline could not be met, or a queue was full.", "Raise the limit or the capacity when this lasts."},
+	}
+}
--- /dev/null
+++ b/internal/site/event/event_test.go
@@ -0,0 +1,35 @@
+package event_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+)
+
+func TestEvent(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Event Suite")
+}
+
+var _ = Describe("the catalog", func() {
+	It("holds each number once, in order, with every column filled", func() {
+		last := event.Number(0)
+		for _, entry := range event.Catalog() {
+			Expect(entry.Number).To(BeNumerically(">", last))
+			Expect(entry.Text).NotTo(BeEmpty())
+			Expect(entry.Cause).NotTo(BeEmpty())
+			Expect(entry.Action).NotTo(BeEmpty())
+			last = entry.Number
+		}
+	})
+
+	It("is consulted for each event logged", func() {
+		var got event.Entry
+		log := event.Log{Sink: func(entry event.Entry, _ []any) { got = entry }}
+		log.Emit(event.HostReady, "host", "h1")
+		Expect(got.Number).To(Equal(event.HostReady))
+	})
+})
--- /dev/null
+++ b/internal/site/event/fleet.go
@@ -0,0 +1,28 @@
+package event
+
+// The events of the area fleet.
+const (
+	PeerJoined Number = 3001 + iota
+	PeerFailed
+	PeerRefused
+	LeaseTaken
+	LeaseLost
+	OrderPlaced
+	ConfigurationApplied
+	PlatformLost
+	PlatformBack
+)
+
+func fleetEvents() []Entry {
+	return []Entry{
+		{PeerJoined, Info, "host joined", "It answered a probe.", "Nothing."},
+		{PeerFailed, Warning, "host failed", "It answered no probe, directly or through others.", "Replace the host if the platform has not."},
+		{PeerRefused, Warning, "peer refused", "Its certificate is wrong, expired, or of another availability zone.", "Renew the certificate of the named host."},
+		{LeaseTaken, Info, "duty taken", "This host holds the lease.", "Nothing."},
+		{LeaseLost, Warning, "duty lost", "The lease was not renewed in time or was taken by another host.", "Nothing, unless the platform is reachable and this repeats."},
+		{OrderPlaced, Info, "backend servers ordered", "Demand changed.", "Nothing."},
+		{ConfigurationApplied, Info, "configuration in force", "A higher accepted version arrived.", "Nothing."},
+		{PlatformLost, Warning, "platform unreachable", "Calls fail.", "Check the platform; serving goes on."},
+		{PlatformBack, Info, "platform reachable again", "A call succeeded.", "Nothing."},
+	}
+}
