Add the HTTP clients of the platform and the back ends

Each system outside of the project is reached through its interface; the clients map what happened on the wire to the errors of these interfaces. A call is sent at most once: net/http repeats requests by itself on a reused connection when the method or an Idempotency-Key makes them look repeatable, so the body is one that it can't copy, and redirects are not followed. A write counts as without effect only when no connection was made or the platform said so.

--- /dev/null
+++ b/internal/backend/engine/client_test.go
@@ -0,0 +1,240 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
+	"github.com/hyssopwall/hyssopwall/internal/standin/cases"
+	standin "github.com/hyssopwall/hyssopwall/internal/standin/engine"
+	"github.com/hyssopwall/hyssopwall/internal/standin/fault"
+)
+
+func TestEngine(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "engine client")
+}
+
+func start(settings standin.Settings) (*standin.Engine, *engine.Client) {
+	settings.Model = "quote-llm"
+	if settings.Version == 0 {
+		settings.Version = 4
+	}
+	if settings.Step == 0 {
+		settings.Step = 100 * time.Microsecond
+	}
+	server := standin.New(settings)
+	Expect(server.Start("127.0.0.1:0")).To(Succeed())
+	DeferCleanup(server.Close)
+	return server, &engine.Client{Base: server.URL()}
+}
+
+func request(id string) engine.Request {
+	return engine.Request{ID: id, Model: "quote-llm", Prompt: "forge a flange", MaxTokens: 32, Seed: 3}
+}
+
+// whole reads a stream to its end.
+func whole(stream engine.Stream) (text string, versions []uint64, last engine.Event, err error) {
+	defer func() { _ = stream.Close() }()
+	for {
+		event, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return text, versions, last, nil
+		}
+		if err != nil {
+			return text, versions, last, err
+		}
+		text += event.Text
+		versions = append(versions, event.Versions...)
+		last = event
+	}
+}
+
+func run(ctx context.Context, client *engine.Client, request engine.Request) (text string, versions []uint64, last engine.Event, err error) {
+	stream, err := client.Run(ctx, request)
+	if err != nil {
+		return "", nil, engine.Event{}, err
+	}
+	return whole(stream)
+}
+
+// faultCase is a generation under one fault. Refused is the code of a
+// RefusedError, Broken the reason of a BrokenError.
+type faultCase struct {
+	Name    string
+	Step    fault.Step
+	Kind    fault.Kind
+	Refused string
+	Broken  string
+	Bare    bool // no event names a version
+}
+
+var _ = Describe("Client", func() {
+	It("reports each fault of a generation", func(ctx SpecContext) {
+		files, err := cases.Load[[]faultCase]("testdata/faults.hujson")
+		Expect(err).NotTo(HaveOccurred())
+		for _, test := range files[0].Data {
+			By(test.Name)
+			server, client := start(standin.Settings{})
+			server.Faults().Add(fault.Rule{Step: test.Step, Kind: test.Kind, Count: 1})
+			text, versions, last, err := run(ctx, client, request("r-1"))
+			Expect(server.Faults().Injected(test.Step, test.Kind)).To(Equal(1))
+			refused, _ := errors.AsType[*engine.RefusedError](err)
+			broken, _ := errors.AsType[*engine.BrokenError](err)
+			switch {
+			case test.Refused != "":
+				Expect(refused).NotTo(BeNil(), "%v", err)
+				Expect(refused.Code).To(Equal(test.Refused))
+				Expect(server.Counts().Started).To(BeZero())
+			case test.Broken != "":
+				Expect(broken).NotTo(BeNil(), "%v", err)
+				Expect(broken.Reason).To(Equal(test.Broken))
+				Expect(broken.Sent).To(BeTrue())
+				Expect(last.Done).To(BeFalse())
+			default:
+				Expect(err).NotTo(HaveOccurred())
+				want, count := standin.Text("forge a flange", 3, 32)
+				Expect(text).To(Equal(want))
+				Expect(last.Tokens).To(Equal(count))
+				Expect(versions == nil).To(Equal(test.Bare))
+			}
+		}
+	}, SpecTimeout(20*time.Second))
+
+	It("names each version of a swap in mid-sample", func(ctx SpecContext) {
+		ticks := make(chan struct{})
+		_, client := start(standin.Settings{Ticks: ticks})
+		stream, err := client.Run(ctx, request("r-1"))
+		Expect(err).NotTo(HaveOccurred())
+		ticks <- struct{}{}
+		first, err := stream.Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first.Versions).To(Equal([]uint64{4}))
+		Expect(client.Apply(ctx, engine.Command{ID: "c-1", Epoch: 2, Version: 5})).To(Succeed())
+		Eventually(func() uint64 { return version(ctx, client) }).Should(Equal(uint64(5)))
+		go pump(ctx, ticks)
+		text, versions, _, err := whole(stream)
+		Expect(err).NotTo(HaveOccurred())
+		want, _ := standin.Text("forge a flange", 3, 32)
+		Expect(first.Text + text).To(Equal(want))
+		Expect(slices.Max(versions)).To(Equal(uint64(5)))
+		Expect(slices.Min(versions)).To(Equal(uint64(4)))
+	}, SpecTimeout(10*time.Second))
+
+	It("moves a generation with its cache and versions", func(ctx SpecContext) {
+		ticks := make(chan struct{})
+		_, source := start(standin.Settings{Ticks: ticks})
+		_, target := start(standin.Settings{Version: 9})
+		stream, err := source.Run(ctx, request("r-1"))
+		Expect(err).NotTo(HaveOccurred())
+		ticks <- struct{}{}
+		first, err := stream.Next()
+		Expect(err).NotTo(HaveOccurred())
+		resume, err := source.Export(ctx, "r-1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resume.Text).To(Equal(first.Text))
+		_, _, last, err := whole(stream)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(last.Reason).To(Equal("exported"))
+
+		moved := request("r-2")
+		moved.Resume = &resume
+		text, versions, _, err := run(ctx, target, moved)
+		Expect(err).NotTo(HaveOccurred())
+		want, _ := standin.Text("forge a flange", 3, 32)
+		Expect(resume.Text + text).To(Equal(want))
+		Expect(versions).To(ContainElements(uint64(4), uint64(9)))
+		damaged := resume
+		damaged.Cache = []byte("no cache")
+		moved.Resume = &damaged
+		_, _, _, err = run(ctx, target, moved)
+		Expect(err).To(Equal(&engine.RefusedError{Code: "cache", After: 50 * time.Millisecond}))
+	}, SpecTimeout(10*time.Second))
+
+	It("refuses an old epoch unless the engine ignores fencing", func(ctx SpecContext) {
+		strict, client := start(standin.Settings{})
+		Expect(client.Apply(ctx, engine.Command{ID: "c-1", Epoch: 7, Role: "decode"})).To(Succeed())
+		Expect(client.Apply(ctx, engine.Command{ID: "c-1", Epoch: 7, Role: "decode"})).To(Succeed())
+		err := client.Apply(ctx, engine.Command{ID: "c-2", Epoch: 6, Role: "prefill"})
+		refused, _ := errors.AsType[*engine.RefusedError](err)
+		Expect(refused).NotTo(BeNil())
+		Expect(refused.Code).To(Equal("fenced"))
+		Expect(strict.Commands()).To(HaveLen(1))
+		lax, client := start(standin.Settings{IgnoreFencing: true})
+		Expect(client.Apply(ctx, engine.Command{ID: "c-1", Epoch: 7, Role: "decode"})).To(Succeed())
+		Expect(client.Apply(ctx, engine.Command{ID: "c-2", Epoch: 6, Role: "prefill"})).To(Succeed())
+		Expect(lax.Counts().Stale).To(Equal(1))
+	}, SpecTimeout(10*time.Second))
+
+	It("cancels by order and by closing the stream", func(ctx SpecContext) {
+		server, client := start(standin.Settings{Ticks: make(chan struct{})})
+		stream, err := client.Run(ctx, request("r-1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(client.Cancel(ctx, "r-1")).To(Succeed())
+		Expect(client.Cancel(ctx, "unknown")).To(Succeed())
+		_, _, last, err := whole(stream)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(last.Reason).To(Equal("canceled"))
+		stream, err = client.Run(ctx, request("r-2"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stream.Close()).To(Succeed())
+		Eventually(func() int { return server.Counts().Canceled }).Should(Equal(2))
+	}, SpecTimeout(10*time.Second))
+
+	It("loses all by a poisoned prompt, and starts again with another boot", func(ctx SpecContext) {
+		server, client := start(standin.Settings{Poison: "POISON"})
+		before, err := client.State(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		bad := request("r-1")
+		bad.Prompt = "a POISON prompt"
+		_, _, _, err = run(ctx, client, bad)
+		broken, _ := errors.AsType[*engine.BrokenError](err)
+		Expect(broken).NotTo(BeNil())
+		Expect(broken.Sent).To(BeTrue())
+		Eventually(server.Restart).Should(Succeed())
+		Eventually(func() error {
+			_, err := client.State(ctx)
+			return err
+		}).Should(Succeed())
+		after, err := client.State(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(after.Boot).NotTo(Equal(before.Boot))
+		Expect(server.Counts().Crashes).To(Equal(1))
+		server.Crash()
+		_, _, _, err = run(ctx, client, request("r-2"))
+		Expect(errors.As(err, &broken)).To(BeTrue())
+		Expect(broken.Reason).To(Equal(engine.ReasonConnect))
+	}, SpecTimeout(10*time.Second))
+
+	It("sends no header but its own", func(ctx SpecContext) {
+		server, client := start(standin.Settings{Record: true})
+		_, _, _, err := run(ctx, client, request("r-1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(server.Received())).To(MatchRegexp(
+			`^POST /v1/run HTTP/1.1\r\nHost: [0-9.:]+\r\nUser-Agent: hyssopwall\r\nContent-Length: \d+\r\nContent-Type: application/json\r\n\r\n\{`))
+	}, SpecTimeout(10*time.Second))
+})
+
+func version(ctx context.Context, client *engine.Client) uint64 {
+	state, err := client.State(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	return state.Version
+}
+
+// pump runs steps until the context ends.
+func pump(ctx context.Context, ticks chan<- struct{}) {
+	for {
+		select {
+		case ticks <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/backend/engine/engine.go
+++ b/internal/backend/engine/engine.go
@@ -31,8 +31,9 @@
 	Cache    []byte   `json:"cache,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
-// Event is one element of an answer stream. The last event has Done set and
-// carries the token count and the SHA-256 of the whole text in hexadecimal.
+// Event is one element of an answer stream. Tokens counts the tokens of the
+// event. The last event has Done set, and carries the token count and the
+// SHA-256 of the whole text in hexadecimal, the text of a Resume included.
 // Versions lists the weight versions that produced the tokens of this event or
 // any cached block that they reused; an engine that omits them gives none.
 type Event struct {
@@ -42,7 +43,7 @@
 	Done     bool     `json:"done,omitempty" cbor:"4,keyasint,omitempty"`
 	Tokens   int      `json:"tokens,omitempty" cbor:"5,keyasint,omitempty"`
 	Digest   string   `json:"digest,omitempty" cbor:"6,keyasint,omitempty"`
-	Reason   string   `json:"reason,omitempty" cbor:"7,keyasint,omitempty"` // "stop", "length", "canceled"
+	Reason   string   `json:"reason,omitempty" cbor:"7,keyasint,omitempty"` // "stop", "length", "canceled", "exported"
 }
 
 // Stream is an answer in progress. Next returns io.EOF after the event with
@@ -111,7 +112,7 @@
 
 // RefusedError says that the engine refused before any work.
 type RefusedError struct {
-	Code  string // "busy", "fenced", "model", "leaving"
+	Code  string // "busy", "fenced", "model", "leaving", "cache"
 	After time.Duration
 }
 
@@ -120,7 +121,8 @@
 }
 
 // BrokenError says that an answer ended early or is not the answer to the
-// request: Reason is "connect", "truncated", "crossed", "digest" or "status".
+// request: Reason is "connect", "truncated", "crossed", "digest", "malformed"
+// or "status".
 // Sent says whether a byte of the request may have reached the engine.
 type BrokenError struct {
 	ID     string
--- /dev/null
+++ b/internal/platform/rest/rest.go
@@ -0,0 +1,135 @@
+// Package rest makes single HTTP calls to systems outside of hyssopwall. A call
+// is sent at most once: no redirect is followed, and nothing is sent again on
+// another connection. Each error says whether a byte of the request may have
+// left, so that callers can tell a call without effect from one whose outcome
+// is unknown.
+package rest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+)
+
+// Limits of a call.
+const (
+	DefaultTimeout = 10 * time.Second // for a call whose context has no deadline
+	MaxAnswer      = 64 << 20         // bytes of an answer's body
+)
+
+// HeaderRan is set to "no" by a system that refuses a call before any work.
+const HeaderRan = "X-Ran"
+
+// HeaderSource names the host that makes a call.
+const HeaderSource = "X-Source"
+
+// Caller makes calls to one system. Base is its URL without a trailing slash.
+// A nil HTTP uses connections that all callers share.
+type Caller struct {
+	Base   string
+	Source string
+	HTTP   *http.Client
+}
+
+// Call is one request.
+type Call struct {
+	Method string
+	Path   string
+	Query  url.Values
+	Header http.Header
+	Body   []byte
+}
+
+// Do makes the call and returns the body of a 2xx answer. Otherwise the error
+// is a *StatusError or a *LostError.
+func (c Caller) Do(ctx context.Context, call Call) ([]byte, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		limited, cancel := context.WithTimeout(ctx, DefaultTimeout)
+		defer cancel()
+		ctx = limited
+	}
+	answer, err := c.Open(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := ReadAll(answer.Body)
+	if err != nil {
+		return nil, &LostError{Sent: true, Err: err}
+	}
+	if answer.StatusCode/100 != 2 {
+		return nil, NewStatusError(answer, body)
+	}
+	return body, nil
+}
+
+// Open makes the call and returns the answer as soon as its header is there,
+// whatever its status. The caller closes the body. The error is a *LostError.
+func (c Caller) Open(ctx context.Context, call Call) (*http.Response, error) {
+	request, err := c.request(ctx, call)
+	if err != nil {
+		return nil, &LostError{Err: err}
+	}
+	var sent atomic.Bool
+	// A connection in hand is the last moment at which it is certain that
+	// nothing has left: later callbacks run after bytes may have been flushed.
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
+	answer, err := single(c.HTTP).Do(request)
+	if err != nil {
+		return nil, &LostError{Sent: sent.Load(), Err: err}
+	}
+	return answer, nil
+}
+
+func (c Caller) request(ctx context.Context, call Call) (*http.Request, error) {
+	target := c.Base + call.Path
+	if len(call.Query) > 0 {
+		target += "?" + call.Query.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, call.Method, target, newBody(call.Body))
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(call.Body))
+	for name, values := range call.Header {
+		request.Header[name] = values
+	}
+	if request.Header.Get("User-Agent") == "" {
+		request.Header.Set("User-Agent", "hyssopwall")
+	}
+	if c.Source != "" {
+		request.Header.Set(HeaderSource, c.Source)
+	}
+	return request, nil
+}
+
+// ReadAll reads an answer's body up to MaxAnswer.
+func ReadAll(body io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, MaxAnswer+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > MaxAnswer {
+		return nil, errors.New("answer is too large")
+	}
+	return data, nil
+}
+
+// LostError says that no whole answer arrived. Sent says whether a byte of the
+// request may have left; when it is false, the call had no effect.
+type LostError struct {
+	Sent bool
+	Err  error
+}
+
+func (e *LostError) Error() string { return fmt.Sprintf("no answer (sent: %t): %v", e.Sent, e.Err) }
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/platform/rest/transport.go
@@ -0,0 +1,70 @@
+package rest
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Settings of the connections that callers share.
+const (
+	dialTimeout     = 2 * time.Second
+	idleTimeout     = 60 * time.Second
+	idlePerHost     = 64
+	maxHeaderBytes  = 64 << 10
+	keepAlivePeriod = 15 * time.Second
+)
+
+// shared is made at first use, so that the zero Caller works.
+var shared = sync.OnceValue(NewClient)
+
+// NewClient returns an HTTP client with connections of its own. It uses no
+// proxy and asks for no compression, so that bytes arrive as they were sent.
+func NewClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	transport := &http.Transport{
+		DialContext:            dialer.DialContext,
+		DisableCompression:     true,
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConnsPerHost:    idlePerHost,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+	return &http.Client{Transport: transport, CheckRedirect: stay}
+}
+
+// single returns the client to use, changed so that it follows no redirect: a
+// redirect would send the request a second time.
+func single(client *http.Client) *http.Client {
+	if client == nil {
+		return shared()
+	}
+	once := *client
+	once.CheckRedirect = stay
+	once.Jar = nil
+	return &once
+}
+
+func stay(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// body hides its reader's type. net/http sends a request again on a fresh
+// connection when it can copy the body and the method or an Idempotency-Key
+// header makes it look repeatable; a body that can't be copied prevents that.
+type body struct {
+	io.Reader
+}
+
+func (body) Close() error { return nil }
+
+func newBody(data []byte) io.ReadCloser {
+	if len(data) == 0 {
+		return body{emptyReader{}}
+	}
+	return body{bytes.NewReader(data)}
+}
+
+type emptyReader struct{}
+
+func (emptyReader) Read([]byte) (int, error) { return 0, io.EOF }
--- /dev/null
+++ b/internal/platform/supply/client.go
@@ -0,0 +1,34 @@
+package supply
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/platform/rest"
+)
+
+// Client is a Supply over HTTP. The zero HTTP client works.
+type Client struct {
+	Base   string
+	Source string
+	HTTP   *http.Client
+}
+
+func (c *Client) caller() rest.Caller {
+	return rest.Caller{Base: c.Base, Source: c.Source, HTTP: c.HTTP}
+}
+
+// Place implements Supply. A stale epoch gives an *object.ConflictError whose
+// Have is the highest epoch that the platform has seen.
+func (c *Client) Place(ctx context.Context, order Order) error {
+	_, err := rest.Post[rest.None](ctx, c.caller(), "/v1/orders", order)
+	return object.WriteFailure(order.ID, order.Epoch, err)
+}
+
+// Servers implements Supply.
+func (c *Client) Servers(ctx context.Context, zone string) ([]Server, error) {
+	servers, err := rest.Get[[]Server](ctx, c.caller(), "/v1/servers", url.Values{"zone": {zone}})
+	return servers, object.ReadFailure(zone, err)
+}
--- a/internal/platform/supply/supply.go
+++ b/internal/platform/supply/supply.go
@@ -16,7 +16,8 @@
 	Spot     Class = "spot"
 )
 
-// Order asks for a number of backend servers. The platform treats an Order
+// Order sets the number of backend servers of a pool and class in a zone: Count
+// is the whole number wanted, not a change. The platform treats an Order
 // with a known ID as the same order, and refuses one whose Epoch is lower than
 // the highest that it has seen.
 type Order struct {
--- /dev/null
+++ b/internal/standin/web/answer.go
@@ -0,0 +1,53 @@
+package web
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/platform/rest"
+)
+
+// MaxBody is the largest request body that a stand-in reads, in bytes.
+const MaxBody = 8 << 20
+
+// JSON writes a value as the whole answer.
+func JSON(w http.ResponseWriter, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+// Refuse writes a refusal that truly did no work.
+func Refuse(w http.ResponseWriter, status int, problem rest.Problem) {
+	w.Header().Set(rest.HeaderRan, "no")
+	Fail(w, status, problem)
+}
+
+// Fail writes a failure that says nothing of the effect.
+func Fail(w http.ResponseWriter, status int, problem rest.Problem) {
+	if problem.After > 0 {
+		wait := time.Duration(problem.After) * time.Millisecond
+		seconds := (wait + time.Second - 1) / time.Second
+		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	JSON(w, status, problem)
+}
+
+// Read decodes a JSON body. It writes a refusal and returns false when the body
+// is no such value.
+func Read[T any](w http.ResponseWriter, r *http.Request, value *T) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBody))
+	if err := decoder.Decode(value); err != nil {
+		Refuse(w, http.StatusBadRequest, rest.Problem{Code: "malformed", Message: err.Error()})
+		return false
+	}
+	return true
+}
