--- /dev/null
+++ b/internal/standin/platform/objects.go
@@ -0,0 +1,114 @@
+package platform
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/platform/rest"
+	"github.com/hyssopwall/hyssopwall/internal/standin/fault"
+	"github.com/hyssopwall/hyssopwall/internal/standin/web"
+)
+
+// maxWait is the longest time that a watch waits.
+const maxWait = 60 * time.Second
+
+func (p *Platform) get(r *http.Request) reply {
+	key := r.URL.Query().Get("key")
+	_, stale := p.settings.Faults.Take(Get, key, fault.Stale)
+	value, found := p.store.get(key, stale)
+	if !found {
+		return refuse(http.StatusNotFound, rest.Problem{Code: "absent"})
+	}
+	return ok(value)
+}
+
+func (p *Platform) list(r *http.Request) reply {
+	prefix := r.URL.Query().Get("prefix")
+	_, stale := p.settings.Faults.Take(List, prefix, fault.Stale)
+	return ok(p.store.list(prefix, stale))
+}
+
+func (p *Platform) watch(r *http.Request) reply {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		return malformed(err)
+	}
+	wait, err := time.ParseDuration(query.Get("wait"))
+	if err != nil {
+		return malformed(err)
+	}
+	timer := time.NewTimer(min(wait, maxWait))
+	defer timer.Stop()
+	for {
+		batch, changed := p.store.since(query.Get("prefix"), after)
+		if len(batch.Objects) > 0 {
+			return ok(batch)
+		}
+		if p.interrupted(r) {
+			web.Drop()
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return ok(batch)
+		case <-r.Context().Done():
+			web.Drop()
+		case <-p.done:
+			web.Drop()
+		}
+	}
+}
+
+// interrupted says whether a waiting watch is cut by an outage or a partition.
+func (p *Platform) interrupted(r *http.Request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.outage != "" || p.cut[r.Header.Get(rest.HeaderSource)]
+}
+
+func (p *Platform) put(r *http.Request) reply {
+	value, err := io.ReadAll(io.LimitReader(r.Body, object.MaxValue+1))
+	if err != nil {
+		return malformed(err)
+	}
+	if len(value) > object.MaxValue {
+		return refuse(http.StatusRequestEntityTooLarge, rest.Problem{Code: "size", Have: uint64(len(value))})
+	}
+	return p.write(r, Put, value, false)
+}
+
+func (p *Platform) remove(r *http.Request) reply {
+	return p.write(r, Delete, nil, true)
+}
+
+func (p *Platform) write(r *http.Request, call Call, value []byte, deleted bool) reply {
+	query := r.URL.Query()
+	key := query.Get("key")
+	expect, err := strconv.ParseUint(query.Get("expect"), 10, 64)
+	if err != nil {
+		return malformed(err)
+	}
+	if key == "" {
+		return malformed(errors.New("no key"))
+	}
+	result := p.store.result(key, value, deleted, expect)
+	if _, due := p.settings.Faults.Take(call, key, fault.Doubled); due {
+		// The request arrives a second time; its caller sees the first answer.
+		p.store.result(key, value, deleted, expect)
+	}
+	return result
+}
+
+func (s *store) result(key string, value []byte, deleted bool, expect uint64) reply {
+	written, err := s.write(key, value, deleted, expect)
+	if conflict, failed := errors.AsType[*object.ConflictError](err); failed {
+		return refuse(http.StatusConflict, rest.Problem{Code: "conflict", Have: conflict.Have})
+	}
+	written.Value = nil
+	return ok(written)
+}
--- /dev/null
+++ b/internal/standin/platform/orders.go
@@ -0,0 +1,209 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/platform/rest"
+	"github.com/hyssopwall/hyssopwall/internal/platform/supply"
+	"github.com/hyssopwall/hyssopwall/internal/standin/fault"
+)
+
+// Server is a backend server as the platform runs it.
+type Server = supply.Server
+
+// Order is an order as the platform takes it.
+type Order = supply.Order
+
+// group names the servers that one order sets the number of.
+type group struct {
+	zone  string
+	pool  string
+	class supply.Class
+}
+
+type supplyState struct {
+	servers  []Server
+	orders   map[string]Order
+	placed   []Order
+	epoch    uint64
+	stale    int // orders of an old epoch that were taken
+	capacity map[group]int
+	serial   int
+}
+
+func (p *Platform) place(r *http.Request) reply {
+	var order Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		return malformed(err)
+	}
+	if order.ID == "" || order.Zone == "" || order.Pool == "" || order.Count < 0 {
+		return refuse(http.StatusBadRequest, rest.Problem{Code: "malformed", Message: "order is not complete"})
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, repeat := p.supply.orders[order.ID]
+	if repeat && known != order {
+		return refuse(http.StatusConflict, rest.Problem{Code: "order", Have: known.Epoch, Message: "another order has this ID"})
+	}
+	if repeat {
+		return ok(rest.None{})
+	}
+	if order.Epoch < p.supply.epoch {
+		if _, ignored := p.settings.Faults.Take(Place, order.Zone, fault.IgnoreFencing); !ignored {
+			return refuse(http.StatusConflict, rest.Problem{Code: "fenced", Have: p.supply.epoch})
+		}
+		p.supply.stale++
+	}
+	p.accept(order)
+	return ok(rest.None{})
+}
+
+func (p *Platform) accept(order Order) {
+	if p.supply.orders == nil {
+		p.supply.orders = make(map[string]Order)
+	}
+	p.supply.orders[order.ID] = order
+	p.supply.placed = append(p.supply.placed, order)
+	p.supply.epoch = max(p.supply.epoch, order.Epoch)
+	p.resize(group{order.Zone, order.Pool, order.Class}, order.Count)
+}
+
+// resize starts or stops servers until the group has the count, or as many as
+// the zone has room for.
+func (p *Platform) resize(g group, count int) {
+	if limit, set := p.supply.capacity[g]; set {
+		count = min(count, limit)
+	}
+	have := p.members(g)
+	for range count - len(have) {
+		p.start(g)
+	}
+	for _, name := range have[min(count, len(have)):] {
+		p.stop(name)
+	}
+}
+
+// members returns the names of a group's servers that are not leaving.
+func (p *Platform) members(g group) []string {
+	names := []string{}
+	for _, server := range p.supply.servers {
+		if (group{server.Zone, server.Pool, server.Class}) == g && !server.Leaving {
+			names = append(names, server.Name)
+		}
+	}
+	return names
+}
+
+func (p *Platform) start(g group) {
+	p.supply.serial++
+	server := Server{
+		Name:  fmt.Sprintf("%s-%s-%s-%d", g.pool, g.zone, g.class, p.supply.serial),
+		Zone:  g.zone,
+		Pool:  g.pool,
+		Class: g.class,
+	}
+	if p.settings.Starter != nil {
+		address, err := p.settings.Starter.Start(server)
+		if err != nil {
+			return
+		}
+		server.Address = address
+	}
+	p.supply.servers = append(p.supply.servers, server)
+}
+
+func (p *Platform) stop(name string) {
+	p.supply.servers = slices.DeleteFunc(p.supply.servers, func(s Server) bool { return s.Name == name })
+	if p.settings.Starter != nil {
+		p.settings.Starter.Stop(name)
+	}
+}
+
+func (p *Platform) servers(r *http.Request) reply {
+	zone := r.URL.Query().Get("zone")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	shown := []Server{}
+	for _, server := range p.supply.servers {
+		if zone == "" || server.Zone == zone {
+			shown = append(shown, server)
+		}
+	}
+	return ok(shown)
+}
+
+// AddServer adds a server that already runs.
+func (p *Platform) AddServer(server Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.supply.servers = append(p.supply.servers, server)
+}
+
+// SetCapacity bounds the servers of a group. It stops none.
+func (p *Platform) SetCapacity(zone, pool string, class supply.Class, count int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.supply.capacity == nil {
+		p.supply.capacity = make(map[group]int)
+	}
+	p.supply.capacity[group{zone, pool, class}] = count
+}
+
+// Reclaim gives notice to the spot servers of a zone. Tick stops them when the
+// notice ends. It returns their names.
+func (p *Platform) Reclaim(zone string, notice time.Duration) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	until := p.now().Add(notice)
+	names := []string{}
+	for i := range p.supply.servers {
+		server := &p.supply.servers[i]
+		if server.Zone == zone && server.Class == supply.Spot && !server.Leaving {
+			server.Leaving = true
+			server.Until = until
+			names = append(names, server.Name)
+		}
+	}
+	return names
+}
+
+// Tick does what is due by the clock.
+func (p *Platform) Tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	due := []string{}
+	for _, server := range p.supply.servers {
+		if server.Leaving && !server.Until.After(now) {
+			due = append(due, server.Name)
+		}
+	}
+	for _, name := range due {
+		p.stop(name)
+	}
+}
+
+// Orders returns the accepted orders, repeats left out.
+func (p *Platform) Orders() []Order {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.supply.placed)
+}
+
+// StaleOrders returns how many orders of an old epoch were taken.
+func (p *Platform) StaleOrders() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.supply.stale
+}
+
+// Running returns the servers that run.
+func (p *Platform) Running() []Server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.supply.servers)
+}
--- /dev/null
+++ b/internal/standin/platform/store.go
@@ -0,0 +1,134 @@
+package platform
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+)
+
+// history is the number of earlier values that a key keeps for stale reads.
+const history = 1
+
+// store holds the objects. Its revision grows by one with each write. The zero
+// value is empty.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string][]object.Object // newest last, at most history+1
+	log      []string                   // key written at revision i+1
+	changed  chan struct{}
+}
+
+// get returns the newest value, or with stale the one before.
+func (s *store) get(key string, stale bool) (object.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return shown(s.objects[key], stale)
+}
+
+func shown(values []object.Object, stale bool) (object.Object, bool) {
+	at := len(values) - 1
+	if stale {
+		at--
+	}
+	if at < 0 || values[at].Deleted {
+		return object.Object{}, false
+	}
+	return values[at], true
+}
+
+// list returns all objects under a prefix. A stale list leaves out the newest
+// change.
+func (s *store) list(prefix string, stale bool) object.Batch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := ""
+	if stale {
+		newest = s.newest(prefix)
+	}
+	batch := object.Batch{Objects: []object.Object{}, Revision: s.revision}
+	for key, values := range s.objects {
+		if !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		behind := stale && key == newest
+		if behind {
+			batch.Revision = values[len(values)-1].Version - 1
+		}
+		if value, found := shown(values, behind); found {
+			batch.Objects = append(batch.Objects, value)
+		}
+	}
+	slices.SortFunc(batch.Objects, func(a, b object.Object) int { return cmp.Compare(a.Key, b.Key) })
+	return batch
+}
+
+func (s *store) newest(prefix string) string {
+	for _, key := range slices.Backward(s.log) {
+		if strings.HasPrefix(key, prefix) {
+			return key
+		}
+	}
+	return ""
+}
+
+// since returns the newest value of each key under a prefix that changed after
+// a revision, in the order of the changes, and a channel that is closed at the
+// next change.
+func (s *store) since(prefix string, after uint64) (object.Batch, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch := object.Batch{Objects: []object.Object{}, Revision: s.revision}
+	for at := min(after, s.revision); at < s.revision; at++ {
+		values := s.objects[s.log[at]]
+		last := values[len(values)-1]
+		if last.Version == at+1 && strings.HasPrefix(last.Key, prefix) {
+			batch.Objects = append(batch.Objects, last)
+		}
+	}
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return batch, s.changed
+}
+
+// write stores a value, or a mark of deletion, when the version is as expected.
+func (s *store) write(key string, value []byte, deleted bool, expect uint64) (object.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	have := uint64(0)
+	if current, found := shown(s.objects[key], false); found {
+		have = current.Version
+	}
+	if have != expect {
+		return object.Object{}, &object.ConflictError{Key: key, Want: expect, Have: have}
+	}
+	s.revision++
+	written := object.Object{Key: key, Version: s.revision, Value: value, Deleted: deleted}
+	if s.objects == nil {
+		s.objects = make(map[string][]object.Object)
+	}
+	values := s.objects[key]
+	values = append(values, written)
+	s.objects[key] = values[max(0, len(values)-history-1):]
+	s.log = append(s.log, key)
+	s.signal()
+	return written, nil
+}
+
+// wake ends every wait, without a change.
+func (s *store) wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.signal()
+}
+
+func (s *store) signal() {
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
