Show that net/http repeats a call without the guard

A counter in the test was read without synchronization under the race detector. It is atomic now, and the same test sends the call through a plain request, which the library repeats.

--- a/internal/platform/object/client_test.go
+++ b/internal/platform/object/client_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"reflect"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -174,24 +177,39 @@
 	}, SpecTimeout(10*time.Second))
 
 	It("never sends a write twice, though its connection was reused", func(ctx SpecContext) {
-		calls := 0
+		var calls atomic.Int64
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			calls++
-			if calls == 1 {
-				_, _ = w.Write([]byte(`{"key":"a","version":1}`))
+			if calls.Add(1) == 1 {
+				_, _ = w.Write([]byte("{}"))
 				return
 			}
 			panic(http.ErrAbortHandler)
 		}))
 		DeferCleanup(server.Close)
-		caller := rest.Caller{Base: server.URL}
-		call := rest.Call{Method: http.MethodPost, Path: "/", Header: http.Header{"Idempotency-Key": {"k"}}, Body: []byte("b")}
+		client := rest.NewClient()
+		caller := rest.Caller{Base: server.URL, HTTP: client}
+		header := http.Header{"Idempotency-Key": {"k"}}
+		call := rest.Call{Method: http.MethodPost, Path: "/", Header: header, Body: []byte("b")}
 		_, err := caller.Do(ctx, call)
 		Expect(err).NotTo(HaveOccurred())
 		_, err = caller.Do(ctx, call)
 		lost, ok := errors.AsType[*rest.LostError](err)
 		Expect(ok).To(BeTrue())
 		Expect(lost.Sent).To(BeTrue())
-		Expect(calls).To(Equal(2))
+		Expect(calls.Load()).To(Equal(int64(2)))
+
+		// Without the guard the library sends the same call again.
+		calls.Store(0)
+		for range 2 {
+			plain, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, strings.NewReader("b"))
+			Expect(err).NotTo(HaveOccurred())
+			plain.Header = header
+			answer, err := client.Do(plain)
+			if err == nil {
+				_, _ = io.Copy(io.Discard, answer.Body)
+				_ = answer.Body.Close()
+			}
+		}
+		Expect(calls.Load()).To(BeNumerically(">", 2))
 	}, SpecTimeout(10*time.Second))
 })
