--- /dev/null
+++ b/internal/standin/fault/parse.go
@@ -0,0 +1,52 @@
+package fault
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Kinds lists every kind of fault.
+func Kinds() []Kind {
+	return []Kind{
+		Delay, DropBefore, DropAfter, Refuse, Crossed, Truncated, Corrupt, Doubled,
+		Crash, IgnoreFencing, Stale, Slow, Down, Limit, Unlabelled, Gapped,
+	}
+}
+
+// ParseError says what is wrong with a rule in text form.
+type ParseError struct {
+	Text   string
+	Reason string
+}
+
+func (e *ParseError) Error() string {
+	return fmt.Sprintf("fault %q: %s; want STEP:KIND[:COUNT[:DELAY]]", e.Text, e.Reason)
+}
+
+// Parse reads a rule from STEP:KIND[:COUNT[:DELAY]], as in put:drop-after:3 or
+// get:delay:0:2s. A count of zero means every time.
+func Parse(text string) (Rule, error) {
+	parts := strings.Split(text, ":")
+	if len(parts) < 2 || len(parts) > 4 || parts[0] == "" {
+		return Rule{}, &ParseError{text, "wrong number of parts"}
+	}
+	rule := Rule{Step: Step(parts[0]), Kind: Kind(parts[1])}
+	if !slices.Contains(Kinds(), rule.Kind) {
+		return Rule{}, &ParseError{text, "unknown kind " + parts[1]}
+	}
+	var err error
+	if len(parts) > 2 {
+		if rule.Count, err = strconv.Atoi(parts[2]); err != nil || rule.Count < 0 {
+			return Rule{}, &ParseError{text, "bad count"}
+		}
+	}
+	if len(parts) > 3 {
+		if rule.Delay, err = time.ParseDuration(parts[3]); err != nil || rule.Delay < 0 {
+			return Rule{}, &ParseError{text, "bad delay"}
+		}
+	}
+	return rule, nil
+}
--- a/internal/standin/platform/call.go
+++ b/internal/standin/platform/call.go
@@ -31,6 +31,11 @@
 	Download Call = "download"
 )
 
+// Steps lists the calls.
+func Steps() []fault.Step {
+	return []fault.Step{Get, List, Watch, Put, Delete, Place, Servers, Report, Hosts, Newest, Download}
+}
+
 // reply is the answer of a handler. A status other than 200 comes with a
 // rest.Problem and says that nothing was done.
 type reply struct {
--- /dev/null
+++ b/internal/standin/supplier/supplier.go
@@ -0,0 +1,131 @@
+// Package supplier runs backend servers for the platform stand-in inside the
+// same process, on loopback.
+package supplier
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+
+	"github.com/hyssopwall/hyssopwall/internal/platform/supply"
+	"github.com/hyssopwall/hyssopwall/internal/standin/engine"
+	"github.com/hyssopwall/hyssopwall/internal/standin/service"
+)
+
+// Pool says what runs as a server of a pool. Exactly one of Engine and Service
+// is set. Each server gets a copy; its Name is the server's.
+type Pool struct {
+	Engine  *engine.Settings
+	Service *service.Settings
+}
+
+// UnknownPoolError says that no pool has the name.
+type UnknownPoolError struct {
+	Name string
+}
+
+func (e *UnknownPoolError) Error() string { return fmt.Sprintf("no pool %s", e.Name) }
+
+// Supplier starts and stops servers. Pools is not changed after the first use.
+type Supplier struct {
+	Pools map[string]Pool
+
+	mu       sync.Mutex
+	engines  map[string]*engine.Engine
+	services map[string]*service.Service
+}
+
+// Start runs a server on a free port and returns its address, IP:port.
+func (s *Supplier) Start(server supply.Server) (string, error) {
+	pool, found := s.Pools[server.Pool]
+	switch {
+	case found && pool.Engine != nil:
+		return s.startEngine(server.Name, *pool.Engine)
+	case found && pool.Service != nil:
+		return s.startService(server.Name, *pool.Service)
+	}
+	return "", &UnknownPoolError{server.Pool}
+}
+
+func (s *Supplier) startEngine(name string, settings engine.Settings) (string, error) {
+	settings.Name = name
+	started := engine.New(settings)
+	if err := started.Start("127.0.0.1:0"); err != nil {
+		return "", err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.engines == nil {
+		s.engines = make(map[string]*engine.Engine)
+	}
+	s.engines[name] = started
+	return address(started.URL()), nil
+}
+
+func (s *Supplier) startService(name string, settings service.Settings) (string, error) {
+	started := service.New(settings)
+	if err := started.Start("127.0.0.1:0"); err != nil {
+		return "", err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.services == nil {
+		s.services = make(map[string]*service.Service)
+	}
+	s.services[name] = started
+	return address(started.URL()), nil
+}
+
+func address(url string) string { return strings.TrimPrefix(url, "http://") }
+
+// Stop ends a server at once.
+func (s *Supplier) Stop(name string) {
+	s.mu.Lock()
+	stopped, served := s.engines[name], s.services[name]
+	s.mu.Unlock()
+	if stopped != nil {
+		stopped.Close()
+	}
+	if served != nil {
+		served.Close()
+	}
+}
+
+// Close ends every server.
+func (s *Supplier) Close() {
+	for _, running := range s.Engines() {
+		running.Close()
+	}
+	for _, running := range s.Services() {
+		running.Close()
+	}
+}
+
+// Engine returns the engine of a name, stopped ones included, or nil.
+func (s *Supplier) Engine(name string) *engine.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engines[name]
+}
+
+// Engines returns all engines that were started, by name.
+func (s *Supplier) Engines() map[string]*engine.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make(map[string]*engine.Engine, len(s.engines))
+	for name, running := range s.engines {
+		all[name] = running
+	}
+	return all
+}
+
+// Services returns all services that were started, by name.
+func (s *Supplier) Services() map[string]*service.Service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make(map[string]*service.Service, len(s.services))
+	for name, running := range s.services {
+		all[name] = running
+	}
+	return all
+}
