Add the step ledger, its owner and the labeling of samples

A trainer's step needs one owner that hands each sample out once, whatever host fails. Chunks form a tree by the cursor they follow, their manifests are committed to the platform before they leave, and the cursor that the trainer names decides which path of the tree is in force. So a lost copy, a lost answer or a second owner costs work and never a sample.

Samples take their label from the engine's stream alone, the resumed text and imported cache included; tokens without a version are refused.

--- /dev/null
+++ b/internal/rollout/sample/collect.go
@@ -0,0 +1,167 @@
+package sample
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
+)
+
+// UnlabelledError says that an engine produced tokens, or reused cached ones,
+// without naming the weight versions. The text can't be delivered.
+type UnlabelledError struct {
+	ID string
+}
+
+func (e *UnlabelledError) Error() string {
+	return fmt.Sprintf("answer to %s has tokens without weight versions", e.ID)
+}
+
+// Digest returns the SHA-256 of text in hexadecimal.
+func Digest(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:])
+}
+
+// reasonCanceled ends a stream that the engine was told to stop.
+const reasonCanceled = "canceled"
+
+// Collector gathers the events of one attempt. Request is the request that was
+// sent; its Resume names the versions of the text and of the imported cache
+// that the engine starts from. The zero value plus a Request is ready.
+type Collector struct {
+	Request  engine.Request
+	text     strings.Builder
+	versions []uint64
+	last     engine.Event
+	missing  bool
+}
+
+// Add takes the next event. It returns an *engine.BrokenError for an event of
+// another request or one after the last.
+func (c *Collector) Add(e engine.Event) error {
+	if e.ID != c.Request.ID {
+		return c.broken("crossed", fmt.Errorf("event of %s", e.ID))
+	}
+	if c.last.Done {
+		return c.broken("truncated", errors.New("event after the last"))
+	}
+	c.text.WriteString(e.Text)
+	c.label(e)
+	c.last = e
+	return nil
+}
+
+// label adds the versions of an event. An event without text adds no tokens,
+// so that it may go without versions; a last event repeats none.
+func (c *Collector) label(e engine.Event) {
+	if len(e.Versions) == 0 {
+		c.missing = c.missing || e.Text != ""
+		return
+	}
+	if !labeled(e.Versions) {
+		c.missing = true
+	}
+	for _, version := range e.Versions {
+		if !slices.Contains(c.versions, version) {
+			c.versions = Union(c.versions, e.Versions)
+		}
+	}
+}
+
+// Versions returns the union of the versions so far, the resumed ones
+// included.
+func (c *Collector) Versions() []uint64 {
+	if c.Request.Resume == nil {
+		return slices.Clone(c.versions)
+	}
+	return Union(c.versions, c.Request.Resume.Versions)
+}
+
+// Sample returns the finished sample without its place in the step. It returns
+// an *engine.BrokenError when the stream has not ended or fails its digest or
+// its count, and an *UnlabelledError when some tokens have no version.
+func (c *Collector) Sample() (Sample, error) {
+	if !c.last.Done || c.last.Reason == reasonCanceled {
+		return Sample{}, c.broken("truncated", nil)
+	}
+	text, tokens, err := c.whole()
+	if err != nil {
+		return Sample{}, err
+	}
+	versions := c.Versions()
+	if c.missing || c.resumedUnlabeled() || !labeled(versions) {
+		return Sample{}, &UnlabelledError{ID: c.Request.ID}
+	}
+	return Sample{Attempt: c.Request.ID, Text: text, Tokens: tokens, Digest: Digest(text), Versions: versions, Reason: c.last.Reason}, nil
+}
+
+// whole returns the text and token count of the whole generation. An engine
+// digests either the whole text or what it added to a resumed one; the token
+// count goes with the digest.
+func (c *Collector) whole() (string, int, error) {
+	added, tokens := c.text.String(), c.last.Tokens
+	if tokens < 0 || (tokens == 0 && added != "") {
+		return "", 0, c.broken("digest", fmt.Errorf("%d tokens", tokens))
+	}
+	resume := c.Request.Resume
+	if resume == nil {
+		if Digest(added) != c.last.Digest {
+			return "", 0, c.broken("digest", nil)
+		}
+		return added, tokens, nil
+	}
+	whole := resume.Text + added
+	switch c.last.Digest {
+	case Digest(whole):
+		return whole, tokens, nil
+	case Digest(added):
+		return whole, resume.Tokens + tokens, nil
+	}
+	return "", 0, c.broken("digest", nil)
+}
+
+func (c *Collector) resumedUnlabeled() bool {
+	resume := c.Request.Resume
+	if resume == nil || (resume.Text == "" && len(resume.Cache) == 0) {
+		return false
+	}
+	return !labeled(resume.Versions)
+}
+
+func (c *Collector) broken(reason string, err error) error {
+	return &engine.BrokenError{ID: c.Request.ID, Reason: reason, Sent: true, Err: err}
+}
+
+// Collect reads stream to its end. Each, when set, sees every event after it
+// was taken, with the versions so far.
+func Collect(request engine.Request, stream engine.Stream, each func(engine.Event, []uint64)) (Sample, error) {
+	collector := Collector{Request: request}
+	for {
+		e, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return collector.Sample()
+		}
+		if err != nil {
+			return Sample{}, err
+		}
+		if err := collector.Add(e); err != nil {
+			return Sample{}, err
+		}
+		if each != nil {
+			each(e, collector.Versions())
+		}
+	}
+}
+
+// Union returns the sorted versions of a and b without repeats.
+func Union(a, b []uint64) []uint64 {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
--- /dev/null
+++ b/internal/rollout/step/assign.go
@@ -0,0 +1,219 @@
+package step
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
+	"github.com/hyssopwall/hyssopwall/internal/rollout/sample"
+)
+
+// Engine is one engine, or the engines of a home host taken together, that can
+// take new work now.
+type Engine struct {
+	Name    string
+	Zone    string
+	Version uint64          // weights in force, as the engine reports them
+	Free    int             // generations that it can start
+	Speed   float64         // tokens per second and generation; zero if not known
+	Wait    time.Duration   // before a new generation starts
+	Cold    time.Duration   // to compute a prompt that is not in its cache
+	Warm    map[uint64]bool // prefixes in its cache, as Group.Prefix
+	Leaving bool            // about to stop: no new work
+}
+
+// Work is one generation to start. Attempt is also the request's ID.
+type Work struct {
+	Attempt string
+	Group   int
+	Index   int
+	Engine  string
+	Hedge   bool
+	Request engine.Request
+}
+
+// defaultSpeed is assumed of engines that report none, in tokens per second.
+const defaultSpeed = 50.0
+
+// stalePenalty is added to the expected end on an engine whose version leaves
+// the sample no room to age. Such an engine is used only if no other is free.
+const stalePenalty = time.Hour
+
+// siblingPenalty is added to the expected end for each attempt of the same
+// group that runs on the engine beyond the first few, so that one slow or lost
+// engine does not hold a whole group.
+const (
+	siblingPenalty = 2 * time.Second
+	siblingsFree   = 4
+)
+
+// Assign returns the generations to start now on engines, which it leaves with
+// what remains free:
+//
+//  1. Slots without a sample come first, those expected longest before the
+//     others, since a long sample that starts late ends the step late.
+//  2. Each goes where it is expected to end first. A warm prefix counts for the
+//     prompt's computation that it saves and no more, so that it never delays
+//     the step.
+//  3. What is then free takes hedges, within their budget.
+func (l *Ledger) Assign(now time.Time, engines []Engine) []Work {
+	if l.canceling || l.Whole() {
+		return nil
+	}
+	field := l.usable(engines)
+	var all []Work
+	for _, at := range l.needs(now) {
+		if len(field) == 0 {
+			return all
+		}
+		work, ok := l.place(at, field, now, false)
+		if !ok {
+			continue
+		}
+		all = append(all, work)
+		field = slices.DeleteFunc(field, func(e *Engine) bool { return e.Free <= 0 })
+	}
+	return append(all, l.hedges(field, now)...)
+}
+
+// usable returns the engines whose new samples could be delivered.
+func (l *Ledger) usable(engines []Engine) []*Engine {
+	var usable []*Engine
+	for i := range engines {
+		e := &engines[i]
+		if e.Free <= 0 || e.Leaving || !sample.Fresh([]uint64{e.Version}, l.newest, l.state.Bound) {
+			continue
+		}
+		usable = append(usable, e)
+	}
+	return usable
+}
+
+// needs returns the slots without a sample and without an attempt, in the
+// order in which to start them.
+func (l *Ledger) needs(now time.Time) []int {
+	var needs []int
+	for i := range l.slots {
+		s := &l.slots[i]
+		if s.done == nil && s.running == 0 && !l.held[s.place] && !now.Before(s.after) {
+			needs = append(needs, i)
+		}
+	}
+	if l.policy.Arrival {
+		return needs
+	}
+	lengths := make([]float64, len(l.groups))
+	for g := range l.groups {
+		lengths[g] = l.length(g, 0)
+	}
+	slices.SortStableFunc(needs, func(a, b int) int {
+		return cmp.Compare(lengths[l.slots[b].group], lengths[l.slots[a].group])
+	})
+	return needs
+}
+
+func (l *Ledger) length(group, soFar int) float64 {
+	stat, wanted := l.groups[group], l.plan.Groups[group]
+	length := expected(l.history.Mean(wanted.Class), stat.finished, stat.tokens, soFar)
+	if wanted.MaxTokens > 0 {
+		return min(length, float64(wanted.MaxTokens))
+	}
+	return length
+}
+
+// place starts a slot on the engine where it is expected to end first.
+func (l *Ledger) place(at int, field []*Engine, now time.Time, hedge bool) (Work, bool) {
+	siblings := l.siblings(l.slots[at].group)
+	var best *Engine
+	var least time.Duration
+	for _, e := range field {
+		if e.Name == l.slots[at].avoid && len(field) > 1 {
+			continue
+		}
+		if e.Free <= 0 || (hedge && l.runsOn(at, e.Name)) {
+			continue
+		}
+		ends := l.ends(at, e) + siblingPenalty*time.Duration(max(0, siblings[e.Name]-siblingsFree))
+		if best == nil || ends < least {
+			best, least = e, ends
+		}
+	}
+	if best == nil {
+		return Work{}, false
+	}
+	return l.start(at, best, now, hedge), true
+}
+
+// ends returns how long a new attempt at a slot is expected to take on an
+// engine.
+func (l *Ledger) ends(at int, e *Engine) time.Duration {
+	s := &l.slots[at]
+	rest := l.length(s.group, 0)
+	if s.resume != nil {
+		rest = max(rest-float64(s.resume.Tokens), rest/10)
+	}
+	ends := e.Wait + seconds(rest/speedOf(e))
+	if !e.Warm[l.plan.Groups[s.group].Prefix] {
+		ends += e.Cold
+	}
+	if l.policy.ReleasePeriod > 0 {
+		releases := uint64(ends / l.policy.ReleasePeriod)
+		if !sample.Fresh([]uint64{e.Version}, l.newest+releases, l.state.Bound) {
+			ends += stalePenalty
+		}
+	}
+	return ends
+}
+
+func speedOf(e *Engine) float64 {
+	if e.Speed <= 0 {
+		return defaultSpeed
+	}
+	return e.Speed
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// siblings counts the group's running attempts on each engine.
+func (l *Ledger) siblings(group int) map[string]int {
+	counts := map[string]int{}
+	for _, a := range l.running {
+		if l.slots[a.slot].group == group {
+			counts[a.engine]++
+		}
+	}
+	return counts
+}
+
+func (l *Ledger) runsOn(at int, name string) bool {
+	for _, a := range l.running {
+		if a.slot == at && a.engine == name {
+			return true
+		}
+	}
+	return false
+}
+
+// start records an attempt and returns its work. An attempt starts under the
+// version that the engine reports only as a guess; the stream alone labels it.
+func (l *Ledger) start(at int, e *Engine, now time.Time, hedge bool) Work {
+	s := &l.slots[at]
+	s.attempts++
+	s.running++
+	e.Free--
+	a := &attempt{id: l.attemptID(s), slot: at, engine: e.Name, hedge: hedge, started: now, moved: now}
+	group := l.plan.Groups[s.group]
+	request := engine.Request{
+		ID: a.id, Model: l.plan.Model, Adapter: l.plan.Adapter, Prompt: group.Prompt,
+		MaxTokens: group.MaxTokens, Seed: int64(s.group)<<32 | int64(s.index)<<8 | int64(s.attempts&0xff),
+	}
+	if !hedge && s.resume != nil {
+		request.Resume = s.resume
+		a.versions, a.tokens = s.resume.Versions, s.resume.Tokens
+		s.resume = nil
+	}
+	l.running[a.id] = a
+	l.stats.Attempts++
+	return Work{Attempt: a.id, Group: s.group, Index: s.index, Engine: e.Name, Hedge: hedge, Request: request}
+}
--- /dev/null
+++ b/internal/rollout/step/call.go
@@ -0,0 +1,135 @@
+package step
+
+import (
+	"context"
+	"fmt"
+)
+
+// SupersededError says that a later pull of the trainer named another cursor.
+type SupersededError struct {
+	ID     ID
+	Cursor uint64
+}
+
+func (e *SupersededError) Error() string {
+	return fmt.Sprintf("pull of step %s from cursor %d superseded by a later one", e.ID.Key(), e.Cursor)
+}
+
+type pull struct {
+	request Request
+	ctx     context.Context
+	reply   chan pullReply
+}
+
+type pullReply struct {
+	chunk Chunk
+	err   error
+}
+
+func (p *pull) apply(o *Owner) {
+	var kept []*pull
+	for _, earlier := range o.waiting {
+		if earlier.request.Cursor == p.request.Cursor {
+			kept = append(kept, earlier)
+			continue
+		}
+		earlier.reply <- pullReply{err: &SupersededError{ID: o.id, Cursor: earlier.request.Cursor}}
+	}
+	kept = append(kept, p)
+	o.waiting = kept
+	o.dirty = true
+}
+
+// serve answers the waiting pulls that can be answered now. A caller that has
+// gone away gets no chunk, though its reply always has room.
+func (o *Owner) serve() {
+	var kept []*pull
+	for _, p := range o.waiting {
+		if p.ctx.Err() != nil {
+			p.reply <- pullReply{err: p.ctx.Err()}
+			continue
+		}
+		answer, err := o.ledger.Pull(p.request, o.config.Clock.Now())
+		switch {
+		case err != nil:
+			p.reply <- pullReply{err: err}
+		case answer.Chunk != nil:
+			p.reply <- pullReply{chunk: *answer.Chunk}
+		default:
+			kept = append(kept, p)
+		}
+	}
+	o.waiting = kept
+}
+
+// Pull waits for the chunk that follows the cursor of the request. A chunk
+// without samples and with Whole set says that the trainer holds the whole
+// step. Errors: *FencedError, *ClosedError, *CanceledError, *CursorError,
+// *SupersededError, and that of ctx.
+func (o *Owner) Pull(ctx context.Context, request Request) (Chunk, error) {
+	p := &pull{request: request, ctx: ctx, reply: make(chan pullReply, 1)}
+	if err := o.send(ctx, p); err != nil {
+		return Chunk{}, err
+	}
+	select {
+	case reply := <-p.reply:
+		return reply.chunk, reply.err
+	case <-ctx.Done():
+		return Chunk{}, ctx.Err()
+	case <-o.done:
+		return Chunk{}, o.end()
+	}
+}
+
+type look struct {
+	reply chan Status
+}
+
+func (l look) apply(o *Owner) {
+	status := o.ledger.Status()
+	status.Stats.ProgressDropped = o.dropped.Load()
+	l.reply <- status
+}
+
+// Look returns the state of the step.
+func (o *Owner) Look(ctx context.Context) (Status, error) {
+	l := look{reply: make(chan Status, 1)}
+	if err := o.send(ctx, l); err != nil {
+		return Status{}, err
+	}
+	select {
+	case status := <-l.reply:
+		return status, nil
+	case <-ctx.Done():
+		return Status{}, ctx.Err()
+	case <-o.done:
+		return Status{}, o.end()
+	}
+}
+
+type cancelStep struct {
+	reply chan struct{}
+}
+
+func (c cancelStep) apply(o *Owner) {
+	o.ledger.Cancel()
+	close(c.reply)
+}
+
+// Cancel ends the step: no chunk is committed after the one in progress, and
+// later pulls get a *CanceledError. It returns once the owner knows of it; the
+// platform learns it as soon as it can be reached.
+func (o *Owner) Cancel(ctx context.Context) error {
+	c := cancelStep{reply: make(chan struct{})}
+	if err := o.send(ctx, c); err != nil {
+		return err
+	}
+	select {
+	case <-c.reply:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-o.done:
+		return o.end()
+	}
+}
--- /dev/null
+++ b/internal/rollout/step/hedge.go
@@ -0,0 +1,90 @@
+package step
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// straggler is a running attempt and how long it is still expected to take.
+type straggler struct {
+	*attempt
+	rest time.Duration
+}
+
+// hedges starts second attempts at the slots that hold the step up. A hedge
+// has to be expected to end sooner by the policy's gain, and all hedges of the
+// step stay within its budget of tokens.
+func (l *Ledger) hedges(field []*Engine, now time.Time) []Work {
+	if l.policy.HedgeShare < 0 || len(field) == 0 {
+		return nil
+	}
+	budget := l.policy.HedgeShare * l.tokens()
+	var all []Work
+	for _, s := range l.stragglers(now) {
+		cost := l.length(l.slots[s.slot].group, 0)
+		if l.hedged+cost > budget {
+			return all
+		}
+		if !l.gains(s, field) {
+			continue
+		}
+		work, ok := l.place(s.slot, field, now, true)
+		if !ok {
+			continue
+		}
+		l.hedged += cost
+		l.stats.Hedges++
+		all = append(all, work)
+	}
+	return all
+}
+
+// tokens returns the expected tokens of the whole step.
+func (l *Ledger) tokens() float64 {
+	sum := 0.0
+	for g, group := range l.plan.Groups {
+		sum += l.length(g, 0) * float64(group.Size)
+	}
+	return sum
+}
+
+// stragglers returns the attempts that run alone, the longest expected first.
+func (l *Ledger) stragglers(now time.Time) []straggler {
+	var all []straggler
+	for _, a := range l.ordered() {
+		if l.slots[a.slot].running == 1 {
+			all = append(all, straggler{a, l.rest(a, now)})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b straggler) int { return cmp.Compare(b.rest, a.rest) })
+	return all
+}
+
+// rest returns how long an attempt is still expected to take at its pace so
+// far. A stuck one is expected to take for ever.
+func (l *Ledger) rest(a *attempt, now time.Time) time.Duration {
+	if now.Sub(a.moved) >= l.policy.Stall {
+		return stalePenalty
+	}
+	age := now.Sub(a.started).Seconds()
+	pace := defaultSpeed
+	if age > 0 && a.tokens > 0 {
+		pace = float64(a.tokens) / age
+	}
+	return seconds((l.length(l.slots[a.slot].group, a.tokens) - float64(a.tokens)) / pace)
+}
+
+// gains reports whether some other engine is expected to end the straggler's
+// slot sooner by the policy's gain.
+func (l *Ledger) gains(s straggler, field []*Engine) bool {
+	for _, e := range field {
+		if e.Free <= 0 || l.runsOn(s.slot, e.Name) {
+			continue
+		}
+		if float64(l.ends(s.slot, e))*l.policy.HedgeGain < float64(s.rest) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/rollout/step/message.go
@@ -0,0 +1,103 @@
+package step
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
+	"github.com/hyssopwall/hyssopwall/internal/rollout/sample"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+)
+
+// MovedError says that an engine exported a generation before it stopped.
+type MovedError struct {
+	Resume engine.Resume
+}
+
+func (e *MovedError) Error() string {
+	return fmt.Sprintf("generation exported after %d tokens", e.Resume.Tokens)
+}
+
+type progressed struct {
+	id       string
+	tokens   int
+	versions []uint64
+}
+
+func (m progressed) apply(o *Owner) {
+	o.ledger.Progress(m.id, m.tokens, m.versions, o.config.Clock.Now())
+}
+
+type generated struct {
+	id     string
+	engine string
+	sample sample.Sample
+	err    error
+}
+
+func (m generated) apply(o *Owner) {
+	o.dirty = true
+	if cancel := o.canceled[m.id]; cancel != nil {
+		cancel()
+		delete(o.canceled, m.id)
+	}
+	now := o.config.Clock.Now()
+	var moved *MovedError
+	var unlabelled *sample.UnlabelledError
+	switch {
+	case errors.As(m.err, &moved):
+		o.ledger.Move(m.id, moved.Resume, now)
+	case m.err != nil:
+		o.ledger.Fail(m.id, m.err, now)
+		if errors.As(m.err, &unlabelled) {
+			o.config.Log.Emit(event.SampleUnlabelled, "attempt", m.id, "engine", m.engine)
+		}
+	default:
+		o.report(m, o.ledger.Complete(m.id, m.sample, now))
+	}
+}
+
+func (o *Owner) report(m generated, outcome Outcome) {
+	switch outcome {
+	case Stale:
+		o.config.Log.Emit(event.SampleStale, "attempt", m.id, "engine", m.engine)
+	case Unlabelled:
+		o.config.Log.Emit(event.SampleUnlabelled, "attempt", m.id, "engine", m.engine)
+	}
+}
+
+type scoredMessage struct {
+	id    string
+	score Score
+}
+
+func (m scoredMessage) apply(o *Owner) {
+	o.dirty = true
+	delete(o.scoring, m.id)
+	o.ledger.Scored(m.id, m.score)
+	if m.score.Scoring == sample.Unscored {
+		o.config.Log.Emit(event.SampleUnscored, "attempt", m.id)
+	}
+}
+
+// written is the outcome of a commit.
+type written struct {
+	version uint64
+	fenced  *FencedError
+	err     error // not known to have taken effect; write again
+}
+
+func (m written) apply(o *Owner) {
+	o.writing = false
+	switch {
+	case m.fenced != nil:
+		o.fenced = m.fenced
+	case m.err != nil:
+		o.failures++
+		o.retry = o.config.Clock.Now().Add(backoff(o.failures))
+	default:
+		o.failures = 0
+		o.version = m.version
+		o.ledger.Committed(o.config.Clock.Now())
+	}
+}
--- /dev/null
+++ b/internal/rollout/step/open.go
@@ -0,0 +1,140 @@
+package step
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+
+	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+)
+
+// Open makes this host the owner of the step and starts it. A step that exists
+// is taken over under a higher epoch (rule 6), from its object and its copies.
+// Plan may be nil for a step that exists; the plan is then read from the
+// copies. Open returns a *PlanError when the plan isn't known or is another
+// one, a *FencedError when another host was faster, and the errors of package
+// object.
+func Open(ctx context.Context, config Config, id ID, plan *Plan) (*Owner, error) {
+	stored, err := config.Store.Get(ctx, id.Key())
+	var missing *object.NotFoundError
+	if errors.As(err, &missing) {
+		return create(ctx, config, id, plan)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return takeOver(ctx, config, id, plan, stored)
+}
+
+func create(ctx context.Context, config Config, id ID, plan *Plan) (*Owner, error) {
+	if plan == nil {
+		return nil, &PlanError{ID: id, Reason: "is not known"}
+	}
+	if plan.ID != id {
+		return nil, &PlanError{ID: id, Reason: "is of another step"}
+	}
+	if err := plan.Check(); err != nil {
+		return nil, err
+	}
+	data, err := wire.Encode(*plan)
+	if err != nil {
+		return nil, err
+	}
+	sum := sha256.Sum256(data)
+	state := State{ID: id, Model: plan.Model, Bound: plan.Bound, Sizes: plan.sizes(), Plan: sum[:], Epoch: 1}
+	if config.Copies != nil {
+		// A plan without a copy is asked for again after a takeover.
+		_ = config.Copies.Save(ctx, planKey(id), data)
+	}
+	return begin(ctx, config, state, *plan, 0)
+}
+
+func takeOver(ctx context.Context, config Config, id ID, plan *Plan, stored object.Object) (*Owner, error) {
+	state, err := wire.Decode[State](stored.Value)
+	if err != nil {
+		return nil, err
+	}
+	if state.Canceled {
+		return nil, &CanceledError{ID: id}
+	}
+	known, err := knownPlan(ctx, config.Copies, state, plan)
+	if err != nil {
+		return nil, err
+	}
+	state.Epoch++
+	return begin(ctx, config, state, known, stored.Version)
+}
+
+// knownPlan returns the plan whose digest the step object names.
+func knownPlan(ctx context.Context, copies Copies, state State, given *Plan) (Plan, error) {
+	if given != nil {
+		digest, err := digestOf(*given)
+		if err != nil {
+			return Plan{}, err
+		}
+		if !bytes.Equal(digest, state.Plan) {
+			return Plan{}, &PlanError{ID: state.ID, Reason: "differs from the one that was opened"}
+		}
+		return *given, nil
+	}
+	if copies == nil {
+		return Plan{}, &PlanError{ID: state.ID, Reason: "is not known"}
+	}
+	data, err := copies.Load(ctx, planKey(state.ID))
+	sum := sha256.Sum256(data)
+	if err != nil || !bytes.Equal(sum[:], state.Plan) {
+		return Plan{}, &PlanError{ID: state.ID, Reason: "is not known"}
+	}
+	return wire.Decode[Plan](data)
+}
+
+// begin writes the state under this host's name and starts the owner.
+func begin(ctx context.Context, config Config, state State, plan Plan, expect uint64) (*Owner, error) {
+	state.Owner, state.Copies = config.Self, config.Mates
+	value, err := wire.Encode(state)
+	if err != nil {
+		return nil, err
+	}
+	out := put(ctx, config.Store, state.ID, value, expect)
+	if out.fenced != nil {
+		return nil, out.fenced
+	}
+	if out.err != nil {
+		return nil, out.err
+	}
+	ledger, err := New(state, plan, config.Policy, config.History)
+	if err != nil {
+		return nil, err
+	}
+	restore(ctx, config.Copies, ledger)
+	o := &Owner{
+		config: config, ledger: ledger, id: state.ID, version: out.version,
+		messages: make(chan message, messageCapacity), done: make(chan struct{}),
+		canceled: map[string]context.CancelFunc{}, scoring: map[string]bool{},
+	}
+	// The owner outlives the call that opens the step.
+	o.ctx, o.stop = context.WithCancel(context.WithoutCancel(ctx))
+	config.Log.Emit(event.StepOpened, "step", state.ID.Key(), "epoch", state.Epoch)
+	go o.run() //nolint:contextcheck // the owner's own context ends it
+	return o, nil
+}
+
+// restore loads the last committed chunk, which the trainer may not hold yet.
+func restore(ctx context.Context, copies Copies, ledger *Ledger) {
+	state := ledger.State()
+	if copies == nil || state.Cursor == 0 {
+		return
+	}
+	data, err := copies.Load(ctx, chunkKey(state.ID, state.Cursor))
+	if err != nil {
+		return
+	}
+	chunk, err := wire.Decode[Chunk](data)
+	if err != nil {
+		return
+	}
+	ledger.Restore(chunk)
+}
--- /dev/null
+++ b/internal/rollout/step/path.go
@@ -0,0 +1,51 @@
+package step
+
+import "slices"
+
+// place names a sample within a step.
+type place struct {
+	group, index int
+}
+
+func (s State) manifest(cursor uint64) (Manifest, bool) {
+	at, ok := slices.BinarySearchFunc(s.Manifests, cursor, func(m Manifest, c uint64) int {
+		switch {
+		case m.Cursor < c:
+			return -1
+		case m.Cursor > c:
+			return 1
+		}
+		return 0
+	})
+	if !ok {
+		return Manifest{}, false
+	}
+	return s.Manifests[at], true
+}
+
+// path returns the places of every sample that a trainer with the cursor holds
+// (rule 1). It returns a *CursorError for a cursor that was never committed.
+func (s State) path(cursor uint64) (map[place]bool, error) {
+	held := map[place]bool{}
+	for at := cursor; at != 0; {
+		m, ok := s.manifest(at)
+		if !ok {
+			return nil, &CursorError{ID: s.ID, Cursor: cursor, Last: s.Cursor}
+		}
+		for _, mark := range m.Marks {
+			held[place{mark.Group, mark.Index}] = true
+		}
+		at = m.Previous
+	}
+	return held, nil
+}
+
+// follower returns the newest chunk that follows the cursor.
+func (s State) follower(cursor uint64) (Manifest, bool) {
+	for _, m := range slices.Backward(s.Manifests) {
+		if m.Previous == cursor {
+			return m, true
+		}
+	}
+	return Manifest{}, false
+}
--- /dev/null
+++ b/internal/rollout/step/plan.go
@@ -0,0 +1,108 @@
+package step
+
+import (
+	"bytes"
+	"crypto/sha256"
+
+	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
+	"github.com/hyssopwall/hyssopwall/internal/rollout/sample"
+)
+
+// Group is one prompt and the number of samples wanted from it.
+type Group struct {
+	Prompt    string `json:"prompt" cbor:"1,keyasint"`
+	Size      int    `json:"size" cbor:"2,keyasint"`
+	Class     string `json:"class,omitempty" cbor:"3,keyasint,omitempty"`      // key of the length history
+	MaxTokens int    `json:"max_tokens,omitempty" cbor:"4,keyasint,omitempty"` // per sample
+	Prefix    uint64 `json:"prefix,omitempty" cbor:"5,keyasint,omitempty"`     // hash of the prompt, for warm caches
+}
+
+// Plan is what a trainer asks for. Opening the same plan again changes nothing.
+type Plan struct {
+	ID      ID      `json:"id" cbor:"1,keyasint"`
+	Model   string  `json:"model" cbor:"2,keyasint"`
+	Adapter string  `json:"adapter,omitempty" cbor:"3,keyasint,omitempty"`
+	Bound   uint64  `json:"bound" cbor:"4,keyasint"` // versions a sample may be behind
+	Groups  []Group `json:"groups" cbor:"5,keyasint"`
+	Score   bool    `json:"score,omitempty" cbor:"6,keyasint,omitempty"` // send samples to the scoring service
+}
+
+// Check verifies the names and the number of samples.
+func (p Plan) Check() error {
+	if err := p.ID.Check(); err != nil {
+		return err
+	}
+	if p.Model == "" {
+		return &wire.FieldError{Type: "step.Plan", Field: "model", Reason: "is empty"}
+	}
+	sum := 0
+	for _, group := range p.Groups {
+		if group.Size <= 0 || group.MaxTokens < 0 {
+			return &wire.FieldError{Type: "step.Plan", Field: "groups", Reason: "hold one without samples"}
+		}
+		sum += group.Size
+	}
+	if sum == 0 || sum > MaxSamples {
+		return &wire.FieldError{Type: "step.Plan", Field: "groups", Reason: "hold no sample or too many"}
+	}
+	return nil
+}
+
+func (p Plan) sizes() []int {
+	sizes := make([]int, len(p.Groups))
+	for i, group := range p.Groups {
+		sizes[i] = group.Size
+	}
+	return sizes
+}
+
+// Chunk is a number of samples that are handed over together. Whole says that
+// the trainer holds the whole step once it has taken the chunk.
+type Chunk struct {
+	ID       ID              `json:"id" cbor:"1,keyasint"`
+	Cursor   uint64          `json:"cursor" cbor:"2,keyasint"`
+	Previous uint64          `json:"previous" cbor:"3,keyasint"`
+	Samples  []sample.Sample `json:"samples" cbor:"4,keyasint"`
+	Whole    bool            `json:"whole,omitempty" cbor:"5,keyasint,omitempty"`
+}
+
+// Check verifies every sample.
+func (c Chunk) Check() error {
+	if err := c.ID.Check(); err != nil {
+		return err
+	}
+	if c.Previous > c.Cursor {
+		return &wire.FieldError{Type: "step.Chunk", Field: "previous", Reason: "is after the cursor"}
+	}
+	for _, s := range c.Samples {
+		if err := s.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// fresh reports whether every sample of the chunk is within the bound.
+func (c Chunk) fresh(newest, bound uint64) bool {
+	for _, s := range c.Samples {
+		if !s.Fresh(newest, bound) {
+			return false
+		}
+	}
+	return true
+}
+
+// matches reports whether the chunk is the one that the manifest names.
+func (c Chunk) matches(m Manifest) bool {
+	digest, err := digestOf(c)
+	return err == nil && c.Cursor == m.Cursor && bytes.Equal(digest, m.Digest)
+}
+
+func digestOf[T wire.Message](message T) ([]byte, error) {
+	data, err := wire.Encode(message)
+	if err != nil {
+		return nil, err
+	}
+	sum := sha256.Sum256(data)
+	return sum[:], nil
+}
--- /dev/null
+++ b/internal/rollout/step/policy.go
@@ -0,0 +1,44 @@
+package step
+
+import "time"
+
+// Defaults of a Policy.
+const (
+	DefaultCommitInterval = 2 * time.Second
+	DefaultChunk          = 256 // samples
+	DefaultHedgeShare     = 0.05
+	DefaultHedgeGain      = 1.5
+	DefaultStall          = 30 * time.Second
+	DefaultBackoff        = 200 * time.Millisecond
+	MaxBackoff            = 10 * time.Second
+	maxChunkText          = 2 << 20 // bytes
+)
+
+// Policy holds the limits of a ledger. Zero fields take the defaults.
+type Policy struct {
+	CommitInterval time.Duration // least time between two commits, but for the last of a step
+	Chunk          int           // most samples of a chunk
+	HedgeShare     float64       // hedged tokens as a share of the step's expected tokens; negative for no hedges
+	HedgeGain      float64       // a hedge has to be expected to end this many times sooner
+	Stall          time.Duration // an attempt without a token for this long is taken as stuck
+	Backoff        time.Duration // wait after a first failure; doubles up to MaxBackoff
+	ReleasePeriod  time.Duration // expected time between weight versions, zero if not known
+	Arrival        bool          // keep the order of the plan instead of long first
+}
+
+func (p Policy) filled() Policy {
+	fill(&p.CommitInterval, DefaultCommitInterval)
+	fill(&p.Chunk, DefaultChunk)
+	fill(&p.HedgeShare, DefaultHedgeShare)
+	fill(&p.HedgeGain, DefaultHedgeGain)
+	fill(&p.Stall, DefaultStall)
+	fill(&p.Backoff, DefaultBackoff)
+	return p
+}
+
+func fill[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/rollout/step/step_test.go
@@ -0,0 +1,190 @@
+package step_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/rollout/sample"
+	"github.com/hyssopwall/hyssopwall/internal/rollout/step"
+)
+
+func TestStep(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Step Suite")
+}
+
+// store is the platform's object API with faults: lose makes the next answers
+// of writes get lost after they took effect, refuse makes writes fail before.
+type store struct {
+	mu       sync.Mutex
+	objects  map[string]object.Object
+	revision uint64
+	writes   int
+	lose     int
+	refuse   int
+}
+
+func (s *store) Get(_ context.Context, key string) (object.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, ok := s.objects[key]
+	if !ok {
+		return object.Object{}, &object.NotFoundError{Key: key}
+	}
+	return found, nil
+}
+
+func (s *store) Put(_ context.Context, key string, value []byte, expect uint64) (object.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	if s.refuse > 0 {
+		s.refuse--
+		return object.Object{}, &object.OutageError{Err: context.DeadlineExceeded}
+	}
+	if have := s.objects[key].Version; have != expect {
+		return object.Object{}, &object.ConflictError{Key: key, Want: expect, Have: have}
+	}
+	s.revision++
+	stored := object.Object{Key: key, Version: s.revision, Value: value}
+	if s.objects == nil {
+		s.objects = map[string]object.Object{}
+	}
+	s.objects[key] = stored
+	if s.lose > 0 {
+		s.lose--
+		return object.Object{}, &object.UnknownError{Key: key, Err: context.DeadlineExceeded}
+	}
+	return stored, nil
+}
+
+// copies keeps what it is given until it is told to lose it.
+type copies struct {
+	mu   sync.Mutex
+	data map[string][]byte
+}
+
+func (c *copies) Save(_ context.Context, key string, data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.data == nil {
+		c.data = map[string][]byte{}
+	}
+	c.data[key] = data
+	return nil
+}
+
+func (c *copies) Load(_ context.Context, key string) ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	data, ok := c.data[key]
+	if !ok {
+		return nil, &object.NotFoundError{Key: key}
+	}
+	return data, nil
+}
+
+// generator finishes every work at once under version.
+type generator struct {
+	version uint64
+}
+
+func (g *generator) Engines(string) []step.Engine {
+	return []step.Engine{{Name: "e1", Version: g.version, Free: 8, Speed: 100}}
+}
+
+func (g *generator) Generate(_ context.Context, work step.Work, _ func(int, []uint64)) (sample.Sample, error) {
+	return sample.Sample{Text: work.Attempt, Tokens: 1, Digest: sample.Digest(work.Attempt), Versions: []uint64{g.version}}, nil
+}
+
+type clock struct{}
+
+func (clock) Now() time.Time                         { return time.Now() }
+func (clock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+func plan(groups, size int) step.Plan {
+	p := step.Plan{ID: step.ID{Workspace: "w", Trainer: "t", Number: 1}, Model: "m", Bound: 1}
+	for range groups {
+		p.Groups = append(p.Groups, step.Group{Prompt: "p", Size: size})
+	}
+	return p
+}
+
+var _ = Describe("an owner", func() {
+	var (
+		ctx    = context.Background()
+		st     *store
+		co     *copies
+		wanted = plan(3, 4)
+	)
+	config := func(self string) step.Config {
+		return step.Config{
+			Self: self, Store: st, Copies: co, Generator: &generator{version: 7}, Clock: clock{},
+			Policy: step.Policy{CommitInterval: time.Millisecond, Backoff: time.Millisecond},
+		}
+	}
+	BeforeEach(func() { st, co = &store{}, &copies{} })
+
+	It("delivers each sample once, across a takeover and lost answers", func() {
+		first, err := step.Open(ctx, config("h1"), wanted.ID, &wanted)
+		Expect(err).NotTo(HaveOccurred())
+		st.mu.Lock()
+		st.lose, st.refuse = 1, 1
+		st.mu.Unlock()
+		chunk, err := first.Pull(ctx, step.Request{Max: 5, Newest: 7})
+		Expect(err).NotTo(HaveOccurred())
+		again, err := first.Pull(ctx, step.Request{Max: 3, Newest: 7})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again).To(Equal(chunk))
+
+		second, err := step.Open(ctx, config("h2"), wanted.ID, nil)
+		Expect(err).NotTo(HaveOccurred())
+		again, err = second.Pull(ctx, step.Request{Newest: 7})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again).To(Equal(chunk))
+
+		_, err = first.Pull(ctx, step.Request{Cursor: chunk.Cursor, Newest: 7})
+		Expect(err).To(BeAssignableToTypeOf(&step.FencedError{}))
+		Eventually(first.Done()).Should(BeClosed())
+
+		seen := map[[2]int]bool{}
+		for {
+			for _, s := range chunk.Samples {
+				Expect(seen[[2]int{s.Group, s.Index}]).To(BeFalse())
+				seen[[2]int{s.Group, s.Index}] = true
+			}
+			if chunk.Whole {
+				break
+			}
+			previous := chunk.Cursor
+			chunk, err = second.Pull(ctx, step.Request{Cursor: previous, Max: 4, Newest: 7})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(chunk.Previous).To(Equal(previous))
+		}
+		Expect(seen).To(HaveLen(12))
+		status, err := second.Look(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status.Epoch).To(Equal(uint64(2)))
+		Expect(first.Close()).To(Succeed())
+		Expect(second.Close()).To(Succeed())
+	})
+
+	It("ends a canceled step for its successors too", func() {
+		owner, err := step.Open(ctx, config("h1"), wanted.ID, &wanted)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(owner.Cancel(ctx)).To(Succeed())
+		_, err = owner.Pull(ctx, step.Request{})
+		Expect(err).To(BeAssignableToTypeOf(&step.CanceledError{}))
+		Eventually(func() error {
+			_, err := step.Open(ctx, config("h2"), wanted.ID, nil)
+			return err
+		}).Should(BeAssignableToTypeOf(&step.CanceledError{}))
+		Expect(owner.Close()).To(Succeed())
+	})
+})
