Agree on claims through views at the platform and their copies

A request that may not be repeated needs one decision on whether it may run, across hosts, through lost answers and a paused owner, and without a platform write per request. A view object names owner and copies of a shard and is written only when it changes; the owner grants a claim after every copy has stored it, and a copy refuses lower epochs. New copies are brought up to date before the view that lists them is installed. An owner without copies renews its view instead, and a shard of which no member survives replies that the outcome is unknown.

Package commit brings a conditional update to a certain outcome through lost answers and old reads; package explore holds the search and the small fake store that the tests use.

--- /dev/null
+++ b/internal/entry/claim/query.go
@@ -0,0 +1,94 @@
+package claim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/fleet/view"
+)
+
+// View returns the newest view that the member knows.
+func (t *Table) View() view.View { return t.current }
+
+// Owner says whether the member owns the shard and accepts its own epoch.
+func (t *Table) Owner() bool {
+	return t.current.Epoch > 0 && t.current.Owner == t.Self && t.current.Epoch >= t.floor
+}
+
+// Len returns the number of records.
+func (t *Table) Len() int { return len(t.rows) }
+
+// Has says whether the member holds a record of the key.
+func (t *Table) Has(key Key) bool { return t.rows[key] != nil }
+
+// Records returns all records in messages for a host that is about to become
+// a copy, at least one message.
+func (t *Table) Records(now time.Duration) []Copy {
+	all := []Copy{{Shard: t.Shard, Epoch: t.current.Epoch}}
+	for _, r := range t.rows {
+		last := &all[len(all)-1]
+		if len(last.Records) == MaxRecords || size(*last) > MaxAnswer*MaxRecords/2 {
+			all = append(all, Copy{Shard: t.Shard, Epoch: t.current.Epoch})
+			last = &all[len(all)-1]
+		}
+		last.Records = append(last.Records, r.copied(now))
+	}
+	return all
+}
+
+func size(c Copy) int {
+	sum := 0
+	for _, record := range c.Records {
+		sum += len(record.Answer)
+	}
+	return sum
+}
+
+// Clone returns a deep copy of the table.
+func (t *Table) Clone() *Table {
+	next := *t
+	next.joining = slices.Clone(t.joining)
+	next.rows = make(map[Key]*row, len(t.rows))
+	for key, r := range t.rows {
+		twin := *r
+		twin.stored = make(map[view.Member]bool, len(r.stored))
+		for member, ok := range r.stored {
+			twin.stored[member] = ok
+		}
+		next.rows[key] = &twin
+	}
+	return &next
+}
+
+func (r *row) copied(now time.Duration) Record {
+	record := r.record
+	record.Within = max(0, r.ends-now)
+	return record
+}
+
+func (r *row) reply(now time.Duration) Reply {
+	switch {
+	case r.record.State == Finished:
+		return Reply{Status: Done, Answer: r.record.Answer, Kept: r.record.Kept}
+	case now >= r.ends:
+		return Reply{Status: Outcome} // rule 5
+	default:
+		return Reply{Status: Running}
+	}
+}
+
+// waits returns the members that have not stored the row yet. The zero member
+// stands for a renewal of the view.
+func (t *Table) waits(r *row) []view.Member {
+	members := t.current.Copies
+	if len(members) == 0 {
+		members = []view.Member{{}}
+	}
+	var missing []view.Member
+	for _, member := range slices.Concat(members, t.joining) {
+		if !r.stored[member] {
+			missing = append(missing, member)
+		}
+	}
+	return missing
+}
--- /dev/null
+++ b/internal/fleet/commit/run.go
@@ -0,0 +1,108 @@
+package commit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+)
+
+// RetryWait is the pause between two calls of one update.
+const RetryWait = 50 * time.Millisecond
+
+// OpenError says that the context ended before the outcome of an update was
+// known: it may have taken effect, or may yet.
+type OpenError struct {
+	Key string
+	Err error
+}
+
+func (e *OpenError) Error() string { return fmt.Sprintf("update of %s still open: %v", e.Key, e.Err) }
+
+// Unwrap returns the cause.
+func (e *OpenError) Unwrap() error { return e.Err }
+
+// LostError says that another value stands at Version. Nothing was written.
+type LostError struct {
+	Key     string
+	Version uint64
+	Value   string
+}
+
+func (e *LostError) Error() string {
+	return fmt.Sprintf("update of %s lost against version %d", e.Key, e.Version)
+}
+
+// RefusedError says that the platform refused the update; nothing was written.
+type RefusedError struct {
+	Key string
+}
+
+func (e *RefusedError) Error() string { return fmt.Sprintf("update of %s refused", e.Key) }
+
+// Do makes one call and translates its outcome. An error of another kind
+// counts as unknown for a write, since it can't be excluded that it took
+// effect.
+func Do(ctx context.Context, store object.Store, call Call) Answer {
+	if call.Op == Get {
+		found, err := store.Get(ctx, call.Key)
+		return translate(call, found, err)
+	}
+	found, err := store.Put(ctx, call.Key, []byte(call.Value), call.Expect)
+	return translate(call, found, err)
+}
+
+func translate(call Call, found object.Object, err error) Answer {
+	var (
+		missing  *object.NotFoundError
+		conflict *object.ConflictError
+		limit    *object.LimitError
+		outage   *object.OutageError
+		size     *object.SizeError
+	)
+	switch {
+	case err == nil:
+		return Answer{Kind: OK, Version: found.Version, Value: string(found.Value)}
+	case errors.As(err, &missing):
+		return Answer{Kind: Missing}
+	case errors.As(err, &conflict):
+		return Answer{Kind: Conflict, Version: conflict.Have}
+	case errors.As(err, &limit), errors.As(err, &outage), errors.As(err, &size), call.Op == Get:
+		return Answer{Kind: Down}
+	default:
+		return Answer{Kind: Unknown}
+	}
+}
+
+// Run makes the calls of an update until its outcome is certain. It returns
+// the new version, or a *LostError, *RefusedError or *OpenError.
+func Run(ctx context.Context, store object.Store, update Update) (uint64, error) {
+	for {
+		update = update.Done(Do(ctx, store, update.Call()))
+		switch update.State {
+		case Won:
+			return update.Version, nil
+		case Lost:
+			return 0, &LostError{Key: update.Key, Version: update.Version, Value: update.Found}
+		case Refused:
+			return 0, &RefusedError{Key: update.Key}
+		case Open:
+		}
+		if err := pause(ctx); err != nil {
+			return 0, &OpenError{Key: update.Key, Err: err}
+		}
+	}
+}
+
+func pause(ctx context.Context) error {
+	timer := time.NewTimer(RetryWait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/fleet/explore/fake.go
@@ -0,0 +1,147 @@
+package explore
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+)
+
+// Fault says what goes wrong with one call to a Fake.
+type Fault uint8
+
+// The faults of a call.
+const (
+	None   Fault = iota
+	Outage       // no effect
+	Drop         // a write has no effect and no answer
+	Mute         // a write takes effect, its answer is lost
+	Stale        // a read returns the value before the last
+)
+
+// Fake is a small object store in memory with faults, for tests of duties. The
+// zero value is empty and works.
+type Fake struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]object.Object
+	old      map[string]object.Object
+	// Fault, when set, decides what goes wrong with a call.
+	Fault func(op, key string) Fault
+	reads int
+	puts  int
+}
+
+// Calls returns the numbers of reads and writes so far.
+func (f *Fake) Calls() (reads, writes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads, f.puts
+}
+
+// SetFault replaces the function that decides what goes wrong.
+func (f *Fake) SetFault(fault func(op, key string) Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Fault = fault
+}
+
+func (f *Fake) fault(op, key string) Fault {
+	if f.Fault == nil {
+		return None
+	}
+	return f.Fault(op, key)
+}
+
+// Get implements object.Store.
+func (f *Fake) Get(_ context.Context, key string) (object.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	fault := f.fault("get", key)
+	if fault == Outage || fault == Drop || fault == Mute {
+		return object.Object{}, &object.OutageError{Err: errors.New("fault")}
+	}
+	found, ok := f.objects[key]
+	if fault == Stale {
+		found, ok = f.old[key]
+	}
+	if !ok {
+		return object.Object{}, &object.NotFoundError{Key: key}
+	}
+	return found, nil
+}
+
+// List implements object.Store.
+func (f *Fake) List(_ context.Context, prefix string) (object.Batch, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	if f.fault("list", prefix) != None {
+		return object.Batch{}, &object.OutageError{Err: errors.New("fault")}
+	}
+	batch := object.Batch{Revision: f.revision}
+	for key, found := range f.objects {
+		if strings.HasPrefix(key, prefix) {
+			batch.Objects = append(batch.Objects, found)
+		}
+	}
+	slices.SortFunc(batch.Objects, func(a, b object.Object) int { return strings.Compare(a.Key, b.Key) })
+	return batch, nil
+}
+
+// Watch implements object.Store; it returns at once.
+func (f *Fake) Watch(ctx context.Context, prefix string, _ uint64) (object.Batch, error) {
+	return f.List(ctx, prefix)
+}
+
+// Put implements object.Store.
+func (f *Fake) Put(_ context.Context, key string, value []byte, expect uint64) (object.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.puts++
+	switch f.fault("put", key) {
+	case Outage:
+		return object.Object{}, &object.OutageError{Err: errors.New("fault")}
+	case Drop:
+		return object.Object{}, &object.UnknownError{Key: key, Err: errors.New("fault")}
+	case Mute:
+		_, _ = f.put(key, value, expect)
+		return object.Object{}, &object.UnknownError{Key: key, Err: errors.New("fault")}
+	case None, Stale:
+	}
+	return f.put(key, value, expect)
+}
+
+func (f *Fake) put(key string, value []byte, expect uint64) (object.Object, error) {
+	before, ok := f.objects[key]
+	if before.Version != expect {
+		return object.Object{}, &object.ConflictError{Key: key, Want: expect, Have: before.Version}
+	}
+	if f.objects == nil {
+		f.objects, f.old = map[string]object.Object{}, map[string]object.Object{}
+	}
+	if ok {
+		f.old[key] = before
+	}
+	f.revision++
+	f.objects[key] = object.Object{Key: key, Version: f.revision, Value: slices.Clone(value)}
+	return f.objects[key], nil
+}
+
+// Delete implements object.Store.
+func (f *Fake) Delete(_ context.Context, key string, expect uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.puts++
+	before := f.objects[key]
+	if before.Version != expect {
+		return &object.ConflictError{Key: key, Want: expect, Have: before.Version}
+	}
+	f.revision++
+	delete(f.objects, key)
+	return nil
+}
