entry/route: choose home hosts, zones and backend servers

Homes by rendezvous hashing, two candidates by weighted rendezvous on the prefix with bounded load, spill only when the wait exceeds the hop, and inside a home exact counts, cache picture, versions, drain and solo runs. Reports of load influence the choice but never close a backend server.

--- /dev/null
+++ b/internal/entry/route/route_test.go
@@ -0,0 +1,205 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
+	"github.com/hyssopwall/hyssopwall/internal/entry/route"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
+	"github.com/hyssopwall/hyssopwall/internal/standin/cases"
+)
+
+func TestRoute(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Route Suite")
+}
+
+// report is an engine's report about itself; Lag is its age in milliseconds.
+type report struct {
+	Name           string
+	Version        uint64
+	Running, Slots int
+	Boot           string
+	Lag            int
+}
+
+// step is one call on the engines of a home.
+type step struct {
+	At      int // milliseconds
+	Reserve string
+	Need    route.Need
+	Want    string // server chosen, empty for none
+	Cached  int
+
+	Release string // request
+	On      string // server
+	Outcome route.Outcome
+
+	Report *report
+	Cache  []engine.CacheEvent
+	Gap    bool
+	Leave  string
+	Hold   string
+	Unhold string
+	Alone  string // request that must be alone on On
+	Note   string
+}
+
+type script struct {
+	Servers []route.Server
+	Steps   []step
+}
+
+func play(e *route.Engines, s step) {
+	now := time.UnixMilli(int64(s.At))
+	switch {
+	case s.Reserve != "":
+		s.Need.ID, s.Need.Pool = s.Reserve, "m"
+		choice, _ := e.Reserve(now, s.Need)
+		Expect(choice.Server).To(Equal(s.Want), s.Note)
+		Expect(choice.Cached).To(Equal(s.Cached), s.Note)
+	case s.Release != "":
+		e.Release(now, s.On, s.Release, s.Outcome)
+	case s.Report != nil:
+		r := s.Report
+		e.Learn(now, engine.State{
+			Name: r.Name, Version: r.Version, Running: r.Running, Slots: r.Slots, Boot: r.Boot,
+			At: now.Add(-time.Duration(r.Lag) * time.Millisecond),
+		})
+	case s.Cache != nil:
+		_, gap := e.LearnCache(s.On, s.Cache)
+		Expect(gap).To(Equal(s.Gap), s.Note)
+	case s.Alone != "":
+		Expect(e.IsAlone(now, s.On, s.Alone)).To(BeTrue(), s.Note)
+	}
+	if s.Leave != "" {
+		e.SetLeaving(s.Leave, true)
+	}
+	if s.Hold+s.Unhold != "" {
+		e.Hold(s.Hold+s.Unhold, s.Hold != "")
+	}
+}
+
+var _ = Describe("the engines of a home", func() {
+	all, err := cases.Load[script]("testdata/engines/*.hujson")
+	It("has cases", func() { Expect(err).NotTo(HaveOccurred()) })
+	for _, c := range all {
+		It(c.Name, func() {
+			var e route.Engines
+			for i := range c.Data.Servers {
+				c.Data.Servers[i].Pool = "m"
+			}
+			e.SetServers(c.Data.Servers)
+			for i, s := range c.Data.Steps {
+				s.Note = fmt.Sprintf("step %d: %s", i, s.Note)
+				play(&e, s)
+			}
+		})
+	}
+})
+
+// homeCase gives the homes of a pool and how picks fall on them.
+type homeCase struct {
+	Homes  []route.Summary
+	Age    map[string]int // milliseconds since a home's summary
+	Prefix uint64
+	Avoid  []string
+	Picks  int
+	Least  map[string]int // picks that a home gets at least
+	Most   map[string]int
+	Spill  *struct {
+		Own   string
+		Hops  map[string]int // cost in milliseconds by zone, whose totals are in Homes
+		Wants string
+	}
+	Note string
+}
+
+var _ = Describe("the choice of a home", func() {
+	now := time.UnixMilli(100000)
+	all, err := cases.Load[homeCase]("testdata/homes/*.hujson")
+	It("has cases", func() { Expect(err).NotTo(HaveOccurred()) })
+	for _, c := range all {
+		It(c.Name, func() {
+			var p route.Picker
+			for _, s := range c.Data.Homes {
+				s.Pool = "m"
+				p.Learn(now.Add(-time.Duration(c.Data.Age[s.Host])*time.Millisecond), s)
+			}
+			got := map[string]int{}
+			for i := range c.Data.Picks {
+				prefix := c.Data.Prefix
+				if prefix == 0 {
+					prefix = uint64(i)*0x9e3779b97f4a7c15 + 1
+				}
+				home, _ := p.Pick(now, "m", prefix, c.Data.Avoid...)
+				got[home]++
+			}
+			for home, least := range c.Data.Least {
+				Expect(got[home]).To(BeNumerically(">=", least), "%s of %v", home, got)
+			}
+			for home, most := range c.Data.Most {
+				Expect(got[home]).To(BeNumerically("<=", most), "%s of %v", home, got)
+			}
+			spill(now, c.Data)
+		})
+	}
+
+	It("moves only the backend servers of a host that leaves", func() {
+		hosts := []string{"h1", "h2", "h3", "h4"}
+		before, after := route.NewHomes(hosts), route.NewHomes(hosts[:3])
+		count := map[string]int{}
+		for i := range 400 {
+			server := fmt.Sprintf("e%d", i)
+			count[before.Of(server)]++
+			if before.Of(server) != "h4" {
+				Expect(after.Of(server)).To(Equal(before.Of(server)))
+			}
+		}
+		for _, host := range hosts {
+			Expect(count[host]).To(BeNumerically("~", 100, 40))
+		}
+		Expect(route.NewHomes(nil).Of("e1")).To(BeEmpty())
+		Expect(route.NewHomes([]string{"h2", "h1", "h2"}).Of("e1")).To(Equal(route.NewHomes([]string{"h1", "h2"}).Of("e1")))
+	})
+
+	It("checks summaries from other hosts", func() {
+		good := route.Summary{Host: "h", Pool: "m", Slots: 4, Rate: 10}
+		data, err := wire.Encode(good)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(wire.Decode[route.Summary](data)).To(Equal(good))
+		for _, bad := range []route.Summary{{Pool: "m"}, {Host: "h"}, {Host: "h", Pool: "m", Slots: -1}, {Host: "h", Pool: "m", Rate: -1}} {
+			Expect(bad.Check()).To(HaveOccurred())
+		}
+	})
+
+	It("hashes whole blocks only", func() {
+		long := route.PrefixHashes("abcdefghij", 4)
+		Expect(long).To(HaveLen(2))
+		Expect(route.PrefixHashes("abcdefgh", 4)).To(Equal(long))
+		Expect(route.PrefixHashes("abcdXfgh", 4)[0]).To(Equal(long[0]))
+		Expect(route.PrefixHashes("abcdXfgh", 4)[1]).NotTo(Equal(long[1]))
+	})
+})
+
+func spill(now time.Time, c homeCase) {
+	if c.Spill == nil {
+		return
+	}
+	var own route.Summary
+	var hops []route.Hop
+	for _, s := range c.Homes {
+		s.At = now.Add(-time.Duration(c.Age[s.Host]) * time.Millisecond)
+		if s.Zone == c.Spill.Own {
+			own = s
+			continue
+		}
+		hops = append(hops, route.Hop{Total: s, Cost: time.Duration(c.Spill.Hops[s.Zone]) * time.Millisecond})
+	}
+	Expect(route.Spill(now, own, hops)).To(Equal(c.Spill.Wants), c.Note)
+}
--- /dev/null
+++ b/internal/entry/route/view.go
@@ -0,0 +1,79 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Running returns the identifiers of this home's requests on a backend server,
+// sorted; the suspects when it crashes.
+func (e *Engines) Running(name string) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.servers[name]
+	if s == nil {
+		return nil
+	}
+	ids := make([]string, 0, len(s.running))
+	for id := range s.running {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// IsAlone says whether a request is the only work on its backend server, as
+// far as this home's counts and the last report tell.
+func (e *Engines) IsAlone(now time.Time, name, id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.servers[name]
+	if s == nil || len(s.running) != 1 || s.others(now) > 0 {
+		return false
+	}
+	_, ok := s.running[id]
+	return ok
+}
+
+// States returns the backend servers ordered by name.
+func (e *Engines) States() []State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	states := make([]State, 0, len(e.servers))
+	for _, s := range e.servers {
+		described := s.Server
+		described.Slots = s.slots()
+		states = append(states, State{
+			Server: described, Running: len(s.running), Version: s.version, Boot: s.boot,
+			Leaving: s.leaving, Held: s.held, Speed: s.rate(),
+		})
+	}
+	slices.SortFunc(states, func(a, b State) int { return cmp.Compare(a.Name, b.Name) })
+	return states
+}
+
+// Gaps returns how often cache events were lost.
+func (e *Engines) Gaps() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gaps
+}
+
+// Summarize returns the summary of a pool for other hosts; backlog is the
+// expected tokens waiting in the home's queue.
+func (e *Engines) Summarize(now time.Time, host, zone, pool string, backlog int) Summary {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sum := Summary{Host: host, Zone: zone, Pool: pool, Backlog: backlog, At: now}
+	for _, s := range e.servers {
+		if s.Pool != pool || s.leaving || s.held || now.Before(s.open) {
+			continue
+		}
+		sum.Slots += s.slots()
+		sum.Running += len(s.running) + s.others(now)
+		sum.Rate += float32(s.rate() * float64(s.slots()))
+		sum.Newest = max(sum.Newest, s.version)
+	}
+	return sum
+}
