entry/attempt: decide retries, hedges and what may be said of an outcome

A pure machine from queued to a final phase. A request that is not idempotent is never sent again once a byte may have left; "not run" is said only when no leg may have run. A random walk checks both promises and fails when lost answers are taken as unsent.

--- /dev/null
+++ b/internal/entry/attempt/attempt_test.go
@@ -0,0 +1,165 @@
+package attempt_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hyssopwall/hyssopwall/internal/entry/attempt"
+	"github.com/hyssopwall/hyssopwall/internal/standin/cases"
+)
+
+func TestAttempt(t *testing.T) {
+	RegisterFailHandler(Fail)
+	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
+	Expect(flag.Set("rapid.nofailfile", "true")).To(Succeed())
+	RunSpecs(t, "Attempt Suite")
+}
+
+type script struct {
+	Idempotent bool
+	MaxTries   int
+	Steps      []struct {
+		Event  attempt.Kind
+		Leg    int
+		Unsent bool
+		Budget bool
+		Do     attempt.Verb
+		Ran    attempt.Ran
+		Cancel []int
+		Phase  attempt.Phase
+		Note   string
+	}
+}
+
+var _ = Describe("an attempt", func() {
+	all, err := cases.Load[script]("testdata/*.hujson")
+	It("has cases", func() { Expect(err).NotTo(HaveOccurred()) })
+	for _, c := range all {
+		It(c.Name, func() {
+			s := attempt.State{Phase: attempt.Queued, Idempotent: c.Data.Idempotent, MaxTries: c.Data.MaxTries}
+			for i, step := range c.Data.Steps {
+				var d attempt.Decision
+				s, d = attempt.Next(s, attempt.Event{Kind: step.Event, Leg: step.Leg, Unsent: step.Unsent, Budget: step.Budget})
+				Expect(d.Do).To(Equal(step.Do), "step %d: %s", i, step.Note)
+				Expect(d.Ran).To(Equal(step.Ran), "step %d: %s", i, step.Note)
+				Expect(d.Cancel).To(Equal(step.Cancel), "step %d: %s", i, step.Note)
+				Expect(s.Phase).To(Equal(step.Phase), "step %d: %s", i, step.Note)
+			}
+		})
+	}
+
+	It("keeps its promises under any order of events", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) { walk(t, attempt.Next) })
+	})
+
+	It("is caught by the same walk when a lost answer counts as not sent", func() {
+		weak := func(s attempt.State, e attempt.Event) (attempt.State, attempt.Decision) {
+			e.Unsent = true
+			return attempt.Next(s, e)
+		}
+		broken := false
+		for seed := range 200 {
+			broken = broken || !walkHolds(rapid.Custom(events).Example(seed), false, weak)
+		}
+		Expect(broken).To(BeTrue())
+	})
+})
+
+func events(t *rapid.T) []attempt.Event {
+	kinds := []attempt.Kind{
+		attempt.EventClaim, attempt.EventSend, attempt.EventByte, attempt.EventAnswer, attempt.EventRefused,
+		attempt.EventBroken, attempt.EventSlow, attempt.EventExpire, attempt.EventCancel,
+	}
+	one := rapid.Custom(func(t *rapid.T) attempt.Event {
+		return attempt.Event{
+			Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Leg: rapid.IntRange(1, 4).Draw(t, "leg"),
+			Unsent: rapid.Bool().Draw(t, "unsent"), Budget: rapid.Bool().Draw(t, "budget"),
+		}
+	})
+	return rapid.SliceOfN(one, 1, 40).Draw(t, "events")
+}
+
+type next func(attempt.State, attempt.Event) (attempt.State, attempt.Decision)
+
+func walk(t *rapid.T, apply next) {
+	if !walkHolds(events(t), rapid.Bool().Draw(t, "idempotent"), apply) {
+		t.Fatal("a promise is broken")
+	}
+}
+
+// walkHolds applies events and keeps count, apart from the machine, of the
+// sends that may have run. An unsent or refused leg did not.
+func walkHolds(list []attempt.Event, idempotent bool, apply next) bool {
+	s := attempt.State{Phase: attempt.Queued, Idempotent: idempotent}
+	mayRun := map[int]bool{}
+	live := map[int]bool{}
+	finishes := 0
+	for i, e := range list {
+		if e.Kind == attempt.EventSend {
+			e.Leg = 100 + i // identifiers of legs are never used twice
+		} else if len(live) > 0 {
+			for id := range live {
+				e.Leg = max(e.Leg, id)
+			}
+		}
+		before := s.Tries
+		var d attempt.Decision
+		s, d = apply(s, e)
+		switch {
+		case s.Tries > before:
+			mayRun[e.Leg], live[e.Leg] = true, true
+		case live[e.Leg] && (e.Kind == attempt.EventRefused || e.Kind == attempt.EventBroken && e.Unsent):
+			delete(mayRun, e.Leg)
+			delete(live, e.Leg)
+		case e.Kind == attempt.EventBroken:
+			delete(live, e.Leg)
+		}
+		if !idempotent && len(mayRun) > 1 {
+			return false
+		}
+		if d.Do == attempt.DoFinish {
+			finishes++
+			if d.Ran == attempt.RanNo && len(mayRun) > 0 || finishes > 1 {
+				return false
+			}
+		}
+	}
+	return s.Tries <= attempt.DefaultTries
+}
+
+var _ = Describe("the retry budget", func() {
+	It("bounds retries to a share of recent requests plus the reserve", func() {
+		var b attempt.Budget
+		now := time.Unix(5000, 0)
+		taken := 0
+		for i := range 1000 {
+			at := now.Add(time.Duration(i) * 10 * time.Millisecond)
+			b.Request(at)
+			if b.Take(at) {
+				taken++
+			}
+		}
+		Expect(taken).To(BeNumerically("<=", 1000*attempt.DefaultShare+attempt.DefaultReserve))
+		Expect(taken).To(BeNumerically(">=", 1000*attempt.DefaultShare/2))
+		later := now.Add(time.Minute)
+		Expect(b.Take(later)).To(BeTrue(), "old retries are forgotten")
+		b.Return(later)
+	})
+
+	It("hedges after the 95th percentile and not before enough is known", func() {
+		var d attempt.Delay
+		_, ok := d.After()
+		Expect(ok).To(BeFalse())
+		for i := range 100 {
+			d.Add(time.Duration(i) * time.Millisecond)
+		}
+		after, ok := d.After()
+		Expect(ok).To(BeTrue())
+		Expect(after).To(BeNumerically("~", 91*time.Millisecond, 5*time.Millisecond))
+	})
+})
