entry/poison: find requests that crash backend servers

Crashes make suspects, suspects run alone, and only a crash of a lone suspect convicts. Marks spread between hosts with the time they have left, and expire.

--- /dev/null
+++ b/internal/entry/poison/judge.go
@@ -0,0 +1,125 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+// Crash is one crash of a backend server. Alone says that its only request was
+// running alone there, with no other work by any known count.
+type Crash struct {
+	Running []Fingerprint
+	Alone   bool
+}
+
+// Judge marks the requests of a crash and returns the new or renewed marks,
+// which the host spreads at once (rules 1 and 3).
+func (l *Ledger) Judge(now time.Time, crash Crash) []Mark {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	changed := make([]Mark, 0, len(crash.Running))
+	for _, fp := range crash.Running {
+		known := l.marks[fp]
+		convict := known != nil && (known.convicted || crash.Alone && len(crash.Running) == 1)
+		changed = append(changed, l.set(now, fp, convict))
+	}
+	return changed
+}
+
+// Clear frees a suspect after a whole answer (rule 2). A conviction stays.
+func (l *Ledger) Clear(fp Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if m := l.marks[fp]; m != nil && !m.convicted {
+		delete(l.marks, fp)
+	}
+}
+
+// Merge takes in marks of another host. A conviction outweighs a suspicion,
+// and the longer time counts. It returns the marks that were news here.
+func (l *Ledger) Merge(now time.Time, marks []Mark) []Mark {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	var news []Mark
+	for _, m := range marks {
+		until := now.Add(time.Duration(m.Left) * time.Millisecond)
+		known := l.marks[m.Print]
+		if known == nil || m.Convicted && !known.convicted {
+			l.put(m.Print, &mark{convicted: m.Convicted, until: until})
+			news = append(news, m)
+			continue
+		}
+		if m.Convicted == known.convicted && until.After(known.until) {
+			known.until = until
+		}
+	}
+	return news
+}
+
+func (l *Ledger) set(now time.Time, fp Fingerprint, convicted bool) Mark {
+	keep := SuspectFor
+	if convicted {
+		keep = ConvictFor
+	}
+	l.put(fp, &mark{convicted: convicted, until: now.Add(keep)})
+	return Mark{Print: fp, Convicted: convicted, Left: uint32(keep / time.Millisecond)}
+}
+
+func (l *Ledger) put(fp Fingerprint, m *mark) {
+	if l.marks == nil {
+		l.marks = make(map[Fingerprint]*mark)
+	}
+	if _, known := l.marks[fp]; !known && len(l.marks) >= maxMarks {
+		l.dropOldest()
+	}
+	l.marks[fp] = m
+}
+
+func (l *Ledger) dropOldest() {
+	var oldest Fingerprint
+	var until time.Time
+	for fp, m := range l.marks {
+		if until.IsZero() || m.until.Before(until) {
+			oldest, until = fp, m.until
+		}
+	}
+	delete(l.marks, oldest)
+}
+
+func (l *Ledger) expire(now time.Time) {
+	for fp, m := range l.marks {
+		if !now.Before(m.until) {
+			delete(l.marks, fp)
+		}
+	}
+}
+
+// Admit says how a request may run. With Refuse, the error tells the caller.
+func (l *Ledger) Admit(now time.Time, fp Fingerprint) (Verdict, *ConvictedError) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := l.marks[fp]
+	switch {
+	case m == nil || !now.Before(m.until):
+		return Run, nil
+	case m.convicted:
+		return Refuse, &ConvictedError{After: m.until.Sub(now)}
+	}
+	return Solo, nil
+}
+
+// Marks returns every mark in force, ordered by fingerprint, for a host that
+// joins and for the regular exchange.
+func (l *Ledger) Marks(now time.Time) []Mark {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	marks := make([]Mark, 0, len(l.marks))
+	for fp, m := range l.marks {
+		marks = append(marks, Mark{Print: fp, Convicted: m.convicted, Left: uint32(m.until.Sub(now) / time.Millisecond)})
+	}
+	slices.SortFunc(marks, func(a, b Mark) int { return slices.Compare(a.Print[:], b.Print[:]) })
+	return marks
+}
