--- /dev/null
+++ b/internal/rollout/reclaim/capacity.go
@@ -0,0 +1,229 @@
+// Package reclaim decides how many backend servers of each price class and
+// availability zone are wanted, and what happens to the work on spot servers
+// that the platform takes back.
+//
+// The rules of capacity, to which the code refers by number:
+//
+//  1. Work that may not be repeated runs on on-demand servers only, spread over
+//     the zones.
+//  2. The rest needs the rate at which each step's remaining tokens are done by
+//     its deadline less a margin, plus the steady rate of other requests.
+//  3. Spot servers cover that need, spread evenly over the zones that have not
+//     lately reclaimed or refused any.
+//  4. On-demand servers cover what spot lacks only when waiting longer for spot
+//     would miss a deadline, or when spot is not cheaper.
+//  5. Growth is at once; a shrink waits until the lower figure has held for a
+//     while, and on-demand servers go first.
+package reclaim
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/platform/supply"
+)
+
+// Defaults of a Policy.
+const (
+	DefaultStart    = 60 * time.Second
+	DefaultMargin   = 2 * time.Minute
+	DefaultCooldown = 5 * time.Minute
+	DefaultPatience = 90 * time.Second
+	DefaultHold     = 2 * time.Minute
+)
+
+// Policy holds the limits of a planner. Zero fields take the defaults.
+type Policy struct {
+	Start    time.Duration // from an order to a server that works
+	Margin   time.Duration // before a deadline
+	Cooldown time.Duration // of a zone's spot servers after a reclaim
+	Patience time.Duration // for spot servers that were ordered
+	Hold     time.Duration // before a shrink
+	Headroom float64       // share added to the need, for what reclaims will take
+	Most     int           // servers in all; zero for no limit
+}
+
+// Step is the demand of one training step.
+type Step struct {
+	Tokens   float64 // still to generate
+	Deadline time.Time
+}
+
+// Demand is what has to be served. Rates are in tokens per second.
+type Demand struct {
+	Steady float64 // of other requests that may be repeated
+	Fixed  int     // servers for work that may not be repeated
+	Rate   float64 // of one server
+	Steps  []Step
+}
+
+// Zone is an availability zone as the planner sees it. Prices are per server
+// and hour.
+type Zone struct {
+	Name        string
+	SpotPrice   float64
+	DemandPrice float64
+	SpotRunning int       // working servers
+	Running     int       // working on-demand servers
+	Reclaimed   time.Time // of the last notice or refused order
+}
+
+// Want is the number of servers wanted of a class in a zone.
+type Want struct {
+	Zone  string
+	Class supply.Class
+	Count int
+}
+
+// Planner decides the wanted capacity of one pool. The zero value is ready.
+type Planner struct {
+	Policy Policy
+
+	short time.Time // since when spot has fallen short
+	low   time.Time // since when less would do
+	last  counts
+}
+
+type counts struct {
+	spot, demand int
+}
+
+// Plan returns the capacity wanted now, ordered by zone and class.
+func (p *Planner) Plan(now time.Time, demand Demand, zones []Zone) []Want {
+	if len(zones) == 0 {
+		return nil
+	}
+	need := p.need(now, demand)
+	wanted := p.hold(now, p.split(now, need, demand, zones))
+	return p.spread(now, wanted, demand.Fixed, zones)
+}
+
+// need returns the servers that the repeatable work takes (rule 2).
+func (p *Planner) need(now time.Time, demand Demand) int {
+	if demand.Rate <= 0 {
+		return 0
+	}
+	rate := demand.Steady
+	for _, step := range demand.Steps {
+		rate += step.Tokens / p.left(now, step).Seconds()
+	}
+	need := int(math.Ceil(rate / demand.Rate * (1 + p.Policy.Headroom)))
+	if p.Policy.Most > 0 {
+		need = min(need, p.Policy.Most-demand.Fixed)
+	}
+	return max(0, need)
+}
+
+// left returns the time for a step's work, at least a second.
+func (p *Planner) left(now time.Time, step Step) time.Duration {
+	return max(step.Deadline.Sub(now)-cmp.Or(p.Policy.Margin, DefaultMargin), time.Second)
+}
+
+// split divides the need between the classes (rules 3 and 4).
+func (p *Planner) split(now time.Time, need int, demand Demand, zones []Zone) counts {
+	running, open := 0, 0
+	for _, zone := range zones {
+		running += zone.SpotRunning
+		if p.offers(now, zone) {
+			open++
+		}
+	}
+	if running >= need {
+		p.short = time.Time{}
+		return counts{spot: need}
+	}
+	if open == 0 {
+		return counts{spot: min(need, running), demand: p.fallback(now, need, running, demand)}
+	}
+	if p.short.IsZero() {
+		p.short = now
+	}
+	if now.Sub(p.short) < cmp.Or(p.Policy.Patience, DefaultPatience) {
+		return counts{spot: need}
+	}
+	return counts{spot: need, demand: p.fallback(now, need, running, demand)}
+}
+
+// fallback returns the on-demand servers without which the steady work or a
+// deadline is missed even if the order is placed now: as long as every step can
+// still be done by servers ordered one starting time later, it waits.
+func (p *Planner) fallback(now time.Time, need, running int, demand Demand) int {
+	have := float64(running) * demand.Rate
+	if have < demand.Steady {
+		return need - running
+	}
+	spare := have - demand.Steady
+	total := 0.0
+	for _, step := range demand.Steps {
+		total += step.Tokens
+		if spare*(p.left(now, step)-cmp.Or(p.Policy.Start, DefaultStart)).Seconds() < total {
+			return need - running
+		}
+	}
+	return 0
+}
+
+func (p *Planner) isOpen(now time.Time, zone Zone) bool {
+	return zone.Reclaimed.IsZero() || now.Sub(zone.Reclaimed) >= cmp.Or(p.Policy.Cooldown, DefaultCooldown)
+}
+
+// hold delays a shrink (rule 5).
+func (p *Planner) hold(now time.Time, wanted counts) counts {
+	if wanted.spot+wanted.demand >= p.last.spot+p.last.demand {
+		p.low = time.Time{}
+		p.last = wanted
+		return wanted
+	}
+	if p.low.IsZero() {
+		p.low = now
+	}
+	if now.Sub(p.low) < cmp.Or(p.Policy.Hold, DefaultHold) {
+		return counts{max(wanted.spot, p.last.spot), max(wanted.demand, p.last.demand)}
+	}
+	p.low = time.Time{}
+	p.last = wanted
+	return wanted
+}
+
+// spread divides the counts over the zones: spot over the open ones, on-demand
+// over all. A zone in its cooldown keeps the spot servers that it still runs.
+func (p *Planner) spread(now time.Time, wanted counts, fixed int, zones []Zone) []Want {
+	zones = slices.Clone(zones)
+	slices.SortFunc(zones, func(a, b Zone) int { return cmp.Compare(a.Name, b.Name) })
+	rest, open := wanted.spot, 0
+	for _, zone := range zones {
+		if p.offers(now, zone) {
+			open++
+			continue
+		}
+		rest -= zone.SpotRunning
+	}
+	rest = max(0, rest)
+	var wants []Want
+	at := 0
+	for i, zone := range zones {
+		wants = append(wants, Want{zone.Name, supply.OnDemand, part(wanted.demand+fixed, len(zones), i)})
+		spot := min(zone.SpotRunning, wanted.spot)
+		if p.offers(now, zone) {
+			spot = part(rest, open, at)
+			at++
+		}
+		wants = append(wants, Want{zone.Name, supply.Spot, spot})
+	}
+	return wants
+}
+
+// offers reports whether spot servers are worth ordering in the zone.
+func (p *Planner) offers(now time.Time, zone Zone) bool {
+	return p.isOpen(now, zone) && zone.SpotPrice < zone.DemandPrice
+}
+
+// part returns the i-th of n nearly equal parts of a count.
+func part(count, n, i int) int {
+	if i < count%n {
+		return count/n + 1
+	}
+	return count / n
+}
--- /dev/null
+++ b/internal/rollout/reclaim/reclaim_test.go
@@ -0,0 +1,115 @@
+package reclaim_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/platform/supply"
+	"github.com/hyssopwall/hyssopwall/internal/rollout/reclaim"
+	"github.com/hyssopwall/hyssopwall/internal/standin/cases"
+)
+
+func TestReclaim(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Reclaim Suite")
+}
+
+// script is a file of testdata/capacity: successive demands and the capacity
+// wanted after each. Times are seconds.
+type script struct {
+	Rate  float64
+	Turns []struct {
+		At       float64
+		Steady   float64
+		Fixed    int
+		Tokens   float64
+		Deadline float64
+		Zones    []struct {
+			Name         string
+			Spot, Demand float64
+			SpotRunning  int
+			Running      int
+			Reclaimed    float64
+		}
+		Want map[string][2]int // zone to on-demand and spot
+	}
+}
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func at(s float64) time.Time { return epoch.Add(time.Duration(s * float64(time.Second))) }
+
+var _ = Describe("the wanted capacity", func() {
+	all, err := cases.Load[script]("testdata/capacity/*.hujson")
+	if err != nil {
+		panic(err)
+	}
+	for _, c := range all {
+		It(c.Name, func() {
+			var planner reclaim.Planner
+			for i, turn := range c.Data.Turns {
+				demand := reclaim.Demand{Steady: turn.Steady, Fixed: turn.Fixed, Rate: c.Data.Rate}
+				if turn.Tokens > 0 {
+					demand.Steps = []reclaim.Step{{Tokens: turn.Tokens, Deadline: at(turn.Deadline)}}
+				}
+				var zones []reclaim.Zone
+				for _, z := range turn.Zones {
+					zone := reclaim.Zone{Name: z.Name, SpotPrice: z.Spot, DemandPrice: z.Demand, SpotRunning: z.SpotRunning, Running: z.Running}
+					if z.Reclaimed != 0 {
+						zone.Reclaimed = at(z.Reclaimed)
+					}
+					zones = append(zones, zone)
+				}
+				got := map[string][2]int{}
+				for _, want := range planner.Plan(at(turn.At), demand, zones) {
+					counts := got[want.Zone]
+					if want.Class == supply.Spot {
+						counts[1] = want.Count
+					} else {
+						counts[0] = want.Count
+					}
+					got[want.Zone] = counts
+				}
+				Expect(got).To(Equal(turn.Want), "turn %d", i)
+			}
+		})
+	}
+})
+
+var _ = Describe("a reclaim notice", func() {
+	It("is reported once, and again only after the server came back", func() {
+		var notices reclaim.Notices
+		leaving := []supply.Server{{Name: "s1", Zone: "a", Leaving: true, Until: at(5)}, {Name: "s2", Zone: "a"}}
+		Expect(notices.Update(leaving)).To(Equal([]reclaim.Notice{{Server: "s1", Zone: "a", Until: at(5)}}))
+		Expect(notices.Update(leaving)).To(BeEmpty())
+		Expect(notices.Update(nil)).To(BeEmpty())
+		Expect(notices.Update(leaving)).To(HaveLen(1))
+	})
+
+	It("lets short streams finish, exports what the time allows and restarts the rest", func() {
+		streams := []reclaim.Stream{
+			{ID: "short", Tokens: 900, Rest: time.Second, Repeat: true},
+			{ID: "long", Tokens: 1000, Rest: time.Minute, Repeat: true},
+			{ID: "longer", Tokens: 2000, Rest: time.Minute, Repeat: true},
+			{ID: "new", Rest: time.Minute, Repeat: true},
+			{ID: "once", Tokens: 10, Rest: time.Minute},
+		}
+		mover := reclaim.Mover{AtOnce: 1, Export: time.Second, PerToken: time.Microsecond}
+		Expect(mover.React(at(0), at(2), streams)).To(ConsistOf(
+			reclaim.Action{ID: "longer", Fate: reclaim.Export},
+			reclaim.Action{ID: "long", Fate: reclaim.Restart},
+			reclaim.Action{ID: "short", Fate: reclaim.Finish},
+			reclaim.Action{ID: "new", Fate: reclaim.Restart},
+			reclaim.Action{ID: "once", Fate: reclaim.Finish},
+		))
+	})
+
+	It("never meets work that may not be repeated", func() {
+		Expect(reclaim.MayRun(supply.Spot, false)).To(BeFalse())
+		Expect(reclaim.MayRun(supply.OnDemand, false)).To(BeTrue())
+		Expect(reclaim.MayRun(supply.Spot, true)).To(BeTrue())
+	})
+})
