Count what was written, so that a call without effect is known as one

A server that closes an idle connection just as it is used again made a call count as possibly sent, and a call that may not be repeated ended as unknown. Connections now count the writes that begin on them. A call that fails before the first goes to another connection, three at most, and the failed one is sealed, so that nothing can be written to it later.

--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -1,6 +1,6 @@
 // Package rest makes single HTTP calls to systems outside of hyssopwall. A call
-// is sent at most once: no redirect is followed, and nothing is sent again on
-// another connection. Each error says whether a byte of the request may have
+// is sent at most once: no redirect is followed, and nothing is sent again once
+// a byte may have left. Each error says whether a byte of the request may have
 // left, so that callers can tell a call without effect from one whose outcome
 // is unknown.
 package rest
@@ -11,9 +11,7 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +19,7 @@
 const (
 	DefaultTimeout = 10 * time.Second // for a call whose context has no deadline
 	MaxAnswer      = 64 << 20         // bytes of an answer's body
+	mostAttempts   = 3                // connections tried before a byte is written
 )
 
 // HeaderRan is set to "no" by a system that refuses a call before any work.
@@ -71,21 +70,27 @@
 
 // Open makes the call and returns the answer as soon as its header is there,
 // whatever its status. The caller closes the body. The error is a *LostError.
+//
+// A connection that its server closed while it was idle fails before anything
+// is written; the call is then made on another one.
 func (c Caller) Open(ctx context.Context, call Call) (*http.Response, error) {
-	request, err := c.request(ctx, call)
-	if err != nil {
-		return nil, &LostError{Err: err}
-	}
-	var sent atomic.Bool
-	// A connection in hand is the last moment at which it is certain that
-	// nothing has left: later callbacks run after bytes may have been flushed.
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
-	answer, err := single(c.HTTP).Do(request)
-	if err != nil {
-		return nil, &LostError{Sent: sent.Load(), Err: err}
+	client := single(c.HTTP)
+	for attempt := 1; ; attempt++ {
+		var track tracker
+		request, err := c.request(track.trace(ctx), call)
+		if err != nil {
+			return nil, &LostError{Err: err}
+		}
+		answer, err := client.Do(request)
+		if err == nil {
+			return answer, nil
+		}
+		sent := track.sent()
+		again := !sent && track.closedIdle() && attempt < mostAttempts && ctx.Err() == nil
+		if !again {
+			return nil, &LostError{Sent: sent, Err: err}
+		}
 	}
-	return answer, nil
 }
 
 func (c Caller) request(ctx context.Context, call Call) (*http.Request, error) {
--- /dev/null
+++ b/internal/platform/rest/rest_test.go
@@ -0,0 +1,90 @@
+package rest
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestRest(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "calls to outside systems")
+}
+
+// transport hands out one connection and then fails as its fields say.
+type transport struct {
+	writes   []int // bytes to write before each failure
+	foreign  bool  // connections aren't counted
+	attempts int
+	conns    []net.Conn
+}
+
+func (t *transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	if t.attempts >= len(t.writes) {
+		body := io.NopCloser(strings.NewReader("ok"))
+		return &http.Response{StatusCode: http.StatusOK, Body: body, Request: request}, nil
+	}
+	near, far := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	if !t.foreign {
+		near = &countedConn{Conn: near}
+	}
+	t.conns = append(t.conns, near)
+	httptrace.ContextClientTrace(request.Context()).GotConn(httptrace.GotConnInfo{Conn: near, Reused: true})
+	if count := t.writes[t.attempts]; count > 0 {
+		_, _ = near.Write(make([]byte, count))
+	}
+	t.attempts++
+	return nil, errors.New("connection closed")
+}
+
+var _ = Describe("Caller", func() {
+	DescribeTable("goes on with another connection only while nothing was written",
+		func(ctx SpecContext, writes []int, foreign bool, attempts int, lost, sent bool) {
+			fake := &transport{writes: writes, foreign: foreign}
+			caller := Caller{Base: "http://127.0.0.1:1", HTTP: &http.Client{Transport: fake}}
+			_, err := caller.Do(ctx, Call{Method: http.MethodPost, Body: []byte("b")})
+			Expect(fake.attempts).To(Equal(attempts))
+			failed, broken := errors.AsType[*LostError](err)
+			Expect(broken).To(Equal(lost), "%v", err)
+			if lost {
+				Expect(failed.Sent).To(Equal(sent))
+			}
+		},
+		Entry("closed while idle", []int{0}, false, 1, false, false),
+		Entry("closed twice", []int{0, 0}, false, 2, false, false),
+		Entry("closed each time", []int{0, 0, 0, 0}, false, 3, true, false),
+		Entry("one byte has left", []int{1}, false, 1, true, true),
+		Entry("one byte has left on the second", []int{0, 1}, false, 2, true, true),
+		Entry("not known what has left", []int{0}, true, 1, true, true),
+	)
+
+	It("writes nothing to a connection after saying that nothing was sent", func(ctx SpecContext) {
+		fake := &transport{writes: []int{0, 0, 0}}
+		caller := Caller{Base: "http://127.0.0.1:1", HTTP: &http.Client{Transport: fake}}
+		_, err := caller.Do(ctx, Call{Method: http.MethodPost, Body: []byte("b")})
+		Expect(err).To(HaveOccurred())
+		_, err = fake.conns[2].Write([]byte("late"))
+		Expect(err).To(MatchError(errSealed))
+	})
+
+	DescribeTable("reads the wait that a system asks for",
+		func(header string, milliseconds int, want time.Duration) {
+			Expect(after(header, int64(milliseconds))).To(Equal(want))
+		},
+		Entry("none", "", 0, time.Duration(0)),
+		Entry("seconds", "3", 0, 3*time.Second),
+		Entry("milliseconds go first", "3", 250, 250*time.Millisecond),
+		Entry("a date is not read", "Wed, 21 Oct 2015 07:28:00 GMT", 0, time.Duration(0)),
+		Entry("negative", "-5", -9, time.Duration(0)),
+		Entry("too long", "999999999999", 0, MaxAfter),
+	)
+})
--- a/internal/platform/rest/transport.go
+++ b/internal/platform/rest/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -12,7 +13,7 @@
 // Settings of the connections that callers share.
 const (
 	dialTimeout     = 2 * time.Second
-	idleTimeout     = 60 * time.Second
+	idleTimeout     = 20 * time.Second // shorter than servers keep idle connections
 	idlePerHost     = 64
 	maxHeaderBytes  = 64 << 10
 	keepAlivePeriod = 15 * time.Second
@@ -26,7 +27,7 @@
 func NewClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
 	transport := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            counted(dialer),
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConnsPerHost:    idlePerHost,
@@ -35,6 +36,17 @@
 	return &http.Client{Transport: transport, CheckRedirect: stay}
 }
 
+// counted dials connections whose writes are counted.
+func counted(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: connection}, nil
+	}
+}
+
 // single returns the client to use, changed so that it follows no redirect: a
 // redirect would send the request a second time.
 func single(client *http.Client) *http.Client {
--- /dev/null
+++ b/internal/platform/rest/written.go
@@ -0,0 +1,93 @@
+package rest
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http/httptrace"
+	"sync"
+)
+
+// errSealed is the error of a write on a connection whose request was reported
+// as not sent.
+var errSealed = errors.New("connection is sealed")
+
+// countedConn counts the writes that were begun on a connection. Once sealed it
+// begins no more, so that "nothing was sent" stays true.
+type countedConn struct {
+	net.Conn
+	mu     sync.Mutex
+	writes int
+	sealed bool
+}
+
+func (c *countedConn) Write(data []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, errSealed
+	}
+	c.writes++
+	c.mu.Unlock()
+	return c.Conn.Write(data)
+}
+
+func (c *countedConn) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
+// seal returns false when a write has begun since the count was start.
+func (c *countedConn) seal(start int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writes != start {
+		return false
+	}
+	c.sealed = true
+	return true
+}
+
+// tracker follows one request through net/http. A connection serves one request
+// at a time, so writes that begin while the request holds it are the request's.
+type tracker struct {
+	mu       sync.Mutex
+	obtained bool
+	conn     *countedConn // nil for connections of a foreign client
+	start    int
+}
+
+func (t *tracker) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.got})
+}
+
+func (t *tracker) got(info httptrace.GotConnInfo) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.obtained = true
+	t.conn, _ = info.Conn.(*countedConn)
+	if t.conn != nil {
+		t.start = t.conn.count()
+	}
+}
+
+// sent says whether a byte of the failed request may have left. It is false
+// when no connection was obtained, or when nothing was written to it and
+// nothing will be.
+func (t *tracker) sent() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.obtained {
+		return false
+	}
+	return t.conn == nil || !t.conn.seal(t.start)
+}
+
+// closedIdle says that the request failed on a connection that was already
+// closed, before anything was written.
+func (t *tracker) closedIdle() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.obtained
+}
