--- a/internal/rollout/step/assign.go
+++ b/internal/rollout/step/assign.go
@@ -36,8 +36,9 @@
 // defaultSpeed is assumed of engines that report none, in tokens per second.
 const defaultSpeed = 50.0
 
-// stalePenalty is added to the expected end on an engine whose version leaves
-// the sample no room to age. Such an engine is used only if no other is free.
+// stalePenalty is added to the expected end on an engine for each version that
+// the sample is expected to be past the bound by then. Such an engine is used
+// only if no other is free.
 const stalePenalty = time.Hour
 
 // siblingPenalty is added to the expected end for each attempt of the same
@@ -158,14 +159,20 @@
 		ends += e.Cold
 	}
 	if l.policy.ReleasePeriod > 0 {
-		releases := uint64(ends / l.policy.ReleasePeriod)
-		if !sample.Fresh([]uint64{e.Version}, l.newest+releases, l.state.Bound) {
-			ends += stalePenalty
-		}
+		newest := l.newest + uint64(ends/l.policy.ReleasePeriod)
+		ends += stalePenalty * time.Duration(behind(e.Version, newest, l.state.Bound))
 	}
 	return ends
 }
 
+// behind returns by how many versions a version is past the bound.
+func behind(version, newest, bound uint64) uint64 {
+	if newest <= version+bound {
+		return 0
+	}
+	return newest - version - bound
+}
+
 func speedOf(e *Engine) float64 {
 	if e.Speed <= 0 {
 		return defaultSpeed
--- a/internal/rollout/step/call.go
+++ b/internal/rollout/step/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 )
 
@@ -50,7 +51,10 @@
 			continue
 		}
 		answer, err := o.ledger.Pull(p.request, o.config.Clock.Now())
+		var unknown *CursorError
 		switch {
+		case errors.As(err, &unknown):
+			o.doubt(p, unknown)
 		case err != nil:
 			p.reply <- pullReply{err: err}
 		case answer.Chunk != nil:
@@ -62,6 +66,27 @@
 	o.waiting = kept
 }
 
+// doubt answers a pull from a cursor that the owner does not know. A later
+// owner may have committed it, so that the platform is asked before the
+// trainer is sent back to the start of its step.
+func (o *Owner) doubt(p *pull, unknown *CursorError) {
+	epoch := o.ledger.state.Epoch
+	o.workers.Add(1)
+	go func() {
+		defer o.workers.Done()
+		fenced, err := verify(p.ctx, o.config.Store, o.id, epoch)
+		switch {
+		case fenced != nil:
+			_ = o.send(o.ctx, written{fenced: fenced})
+			p.reply <- pullReply{err: fenced}
+		case err != nil:
+			p.reply <- pullReply{err: err}
+		default:
+			p.reply <- pullReply{err: unknown}
+		}
+	}()
+}
+
 // Pull waits for the chunk that follows the cursor of the request. A chunk
 // without samples and with Whole set says that the trainer holds the whole
 // step. Errors: *FencedError, *ClosedError, *CanceledError, *CursorError,
--- a/internal/rollout/step/complete.go
+++ b/internal/rollout/step/complete.go
@@ -143,7 +143,7 @@
 
 // Move takes what a reclaimed engine exported of an attempt. The next attempt
 // resumes from it, with every version it names, if it can still finish fresh.
-func (l *Ledger) Move(id string, resume engine.Resume, _ time.Time) {
+func (l *Ledger) Move(id string, resume engine.Resume) {
 	a, ok := l.running[id]
 	if !ok {
 		return
--- a/internal/rollout/step/message.go
+++ b/internal/rollout/step/message.go
@@ -46,7 +46,7 @@
 	var unlabelled *sample.UnlabelledError
 	switch {
 	case errors.As(m.err, &moved):
-		o.ledger.Move(m.id, moved.Resume, now)
+		o.ledger.Move(m.id, moved.Resume)
 	case m.err != nil:
 		o.ledger.Fail(m.id, m.err, now)
 		if errors.As(m.err, &unlabelled) {
--- a/internal/rollout/step/state.go
+++ b/internal/rollout/step/state.go
@@ -18,7 +18,9 @@
 //  5. A commit whose answer was lost is repeated unchanged, or read back, until
 //     its outcome is known. No other commit is prepared meanwhile.
 //  6. An owner takes a step over by writing a higher epoch. The commit of an
-//     earlier owner then conflicts; that owner stops and hands nothing out.
+//     earlier owner then conflicts; that owner stops and hands nothing out. An
+//     owner that is asked for a cursor it does not know reads the object first,
+//     since a later owner may have committed it.
 //  7. Freshness is checked when a chunk is prepared and again when it is handed
 //     over, against the newest version known at that moment.
 package step
--- a/internal/rollout/step/write.go
+++ b/internal/rollout/step/write.go
@@ -85,6 +85,27 @@
 	return written{fenced: &FencedError{ID: id, Owner: state.Owner, Epoch: state.Epoch}}
 }
 
+// verify reads whether the epoch still owns the step. It returns nil if so,
+// and what is known of the later owner if not.
+func verify(ctx context.Context, store Store, id ID, epoch uint64) (*FencedError, error) {
+	stored, err := store.Get(ctx, id.Key())
+	var missing *object.NotFoundError
+	if errors.As(err, &missing) {
+		return &FencedError{ID: id}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	state, err := wire.Decode[State](stored.Value)
+	if err != nil {
+		return nil, err
+	}
+	if state.Epoch == epoch {
+		return nil, nil
+	}
+	return &FencedError{ID: id, Owner: state.Owner, Epoch: state.Epoch}, nil
+}
+
 func (o *Owner) save(ctx context.Context, key string, chunk Chunk) {
 	data, err := wire.Encode(chunk)
 	if err != nil || o.config.Copies == nil {
