--- a/internal/fleet/commit/run.go
+++ b/internal/fleet/commit/run.go
@@ -80,7 +80,8 @@
 // the new version, or a *LostError, *RefusedError or *OpenError.
 func Run(ctx context.Context, store object.Store, update Update) (uint64, error) {
 	for {
-		update = update.Done(Do(ctx, store, update.Call()))
+		answer := Do(ctx, store, update.Call())
+		update = update.Done(answer)
 		switch update.State {
 		case Won:
 			return update.Version, nil
@@ -90,6 +91,9 @@
 			return 0, &RefusedError{Key: update.Key}
 		case Open:
 		}
+		if answer.Kind == Conflict {
+			continue // the read that decides can be made at once
+		}
 		if err := pause(ctx); err != nil {
 			return 0, &OpenError{Key: update.Key, Err: err}
 		}
