--- a/internal/billing/usage/usage_test.go
+++ b/internal/billing/usage/usage_test.go
@@ -167,14 +167,11 @@
 var one = usage.Count{Requests: 1, Tokens: 10}
 
 var _ = Describe("usage", func() {
-	var (
-		ctx context.Context
-		f   *fleet
-	)
+	var f *fleet
+	ctx := context.Background()
 	BeforeEach(func() {
 		running, cancel := context.WithCancel(context.Background())
-		ctx = running
-		f = newFleet(ctx, "a", "b", "c", "d", "e")
+		f = newFleet(running, "a", "b", "c", "d", "e")
 		DeferCleanup(func() {
 			cancel()
 			for _, m := range f.meters {
--- a/internal/fleet/commit/run.go
+++ b/internal/fleet/commit/run.go
@@ -61,6 +61,7 @@
 		limit    *object.LimitError
 		outage   *object.OutageError
 		size     *object.SizeError
+		request  *object.RequestError
 	)
 	switch {
 	case err == nil:
@@ -69,7 +70,7 @@
 		return Answer{Kind: Missing}
 	case errors.As(err, &conflict):
 		return Answer{Kind: Conflict, Version: conflict.Have}
-	case errors.As(err, &limit), errors.As(err, &outage), errors.As(err, &size), call.Op == Get:
+	case errors.As(err, &limit), errors.As(err, &outage), errors.As(err, &size), errors.As(err, &request), call.Op == Get:
 		return Answer{Kind: Down}
 	default:
 		return Answer{Kind: Unknown}
