entry/compare: measure the request path against baselines

The benchmark Compare drives the real queue, choice, attempts and budget in virtual time with seeded load, beside round robin, least request, no fair queue, no hedging and no prefixes, at three sizes. The prompt's weight in the choice of an engine becomes that of the engine model, a fiftieth of a generated token.

--- /dev/null
+++ b/internal/entry/compare/compare_test.go
@@ -0,0 +1,65 @@
+package compare_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/entry/compare"
+)
+
+func TestCompare(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Compare Suite")
+}
+
+// fairBound is the least part of its fair share that the worst-served
+// workspace may get under a flood.
+const fairBound = 0.90
+
+var _ = Describe("a flood", func() {
+	It("breaks the bound without a fair queue", func() {
+		site := compare.Sites()[0]
+		for _, policy := range compare.Baselines()[:3] {
+			got := compare.Run(site, compare.Flood(0.2), policy, 1)
+			Expect(got.Share).To(BeNumerically("<", fairBound), policy.Name)
+		}
+	})
+
+	It("measures the same each time", func() {
+		site := compare.Sites()[1]
+		site.Seconds = 60
+		first := compare.Run(site, compare.Faults(), compare.Ours(), 7)
+		Expect(compare.Run(site, compare.Faults(), compare.Ours(), 7)).To(Equal(first))
+	})
+})
+
+// BenchmarkCompare prints the table of the measurements page: run it with
+// -benchtime 1x.
+func BenchmarkCompare(b *testing.B) {
+	loads := []compare.Load{
+		compare.Flood(0.08), compare.Flood(0.2), compare.Even("1x", 1), compare.Even("2x", 2),
+		compare.Even("3x", 3), compare.Faults(), compare.Outage(),
+	}
+	loads[0].Name, loads[1].Name = "flood-below-share", "flood-above-share"
+	for _, site := range compare.Sites() {
+		for _, load := range loads {
+			for _, policy := range append([]compare.Policy{compare.Ours()}, compare.Baselines()...) {
+				b.Run(site.Name+"/"+load.Name+"/"+policy.Name, func(b *testing.B) {
+					var got compare.Result
+					for b.Loop() {
+						got = compare.Run(site, load, policy, 1)
+					}
+					b.ReportMetric(got.Share, "share")
+					b.ReportMetric(got.P99.Seconds(), "p99-s")
+					b.ReportMetric(got.Goodput, "goodput")
+					b.ReportMetric(got.InTime, "in-time")
+					b.ReportMetric(got.Hits, "hits")
+					b.ReportMetric(got.Retries, "retries/failure")
+					b.ReportMetric(got.Sends, "sends/request")
+				})
+			}
+		}
+	}
+}
--- a/internal/entry/route/engines.go
+++ b/internal/entry/route/engines.go
@@ -28,7 +28,7 @@
 	speedGain     = 0.2
 	firstBackoff  = 250 * time.Millisecond
 	maxBackoff    = 15 * time.Second
-	prefillFactor = 0.1 // time of a prompt token in times of a generated token
+	prefillFactor = 0.02 // time of a prompt token in times of a generated token
 	maxPrefixes   = 1 << 16
 )
 
