Prove hosts by certificate and link them over QUIC

Cause: hosts need to find, trust and reach each other before any shared duty. Change: package identity issues, verifies and reloads host certificates whose URI names host and zone; package link keeps one QUIC connection with mutual TLS 1.3 to each peer and carries streams, calls and notes over it. A call error tells whether a byte may have left. Two events for unusable certificate files and diverged documents.

--- /dev/null
+++ b/internal/fleet/link/link_test.go
@@ -0,0 +1,305 @@
+package link_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/fleet/identity"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/link"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+)
+
+func TestLink(t *testing.T) {
+	RegisterFailHandler(Fail)
+	EnforceDefaultTimeoutsWhenUsingContexts()
+	SetDefaultEventuallyTimeout(10 * time.Second)
+	RunSpecs(t, "Link Suite")
+}
+
+type text struct {
+	Value string `cbor:"1,keyasint"`
+}
+
+func (t text) Check() error {
+	if t.Value == "wrong" {
+		return errors.New("wrong value")
+	}
+	return nil
+}
+
+type staleError struct{}
+
+func (*staleError) Error() string { return "too old" }
+func (*staleError) Code() string  { return "stale" }
+
+// site is one authority with the endpoints of a test.
+type site struct {
+	authority identity.Pair
+	refused   atomic.Int64
+}
+
+func newSite() *site {
+	authority, err := identity.Create(time.Now(), time.Hour)
+	Expect(err).NotTo(HaveOccurred())
+	return &site{authority: authority}
+}
+
+func (s *site) log() event.Log {
+	return event.Log{Sink: func(entry event.Entry, _ []any) {
+		if entry.Number == event.PeerRefused {
+			s.refused.Add(1)
+		}
+	}}
+}
+
+func (s *site) source(host identity.Host, life time.Duration) *identity.Source {
+	pair, err := identity.Issue(s.authority, host, time.Now(), life)
+	Expect(err).NotTo(HaveOccurred())
+	material, err := identity.Assemble(pair, s.authority.Certificate)
+	Expect(err).NotTo(HaveOccurred())
+	return identity.Fixed(material, time.Now, s.log())
+}
+
+func listen(config link.Config) *link.Endpoint {
+	if config.Address == "" {
+		config.Address = "127.0.0.1:0"
+	}
+	endpoint, err := link.Listen(config)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(endpoint.Close)
+	return endpoint
+}
+
+func (s *site) endpoint(name, zone string) *link.Endpoint {
+	return listen(link.Config{Identity: s.source(identity.Host{Name: name, Zone: zone}, time.Hour), Log: s.log()})
+}
+
+func echo(endpoint *link.Endpoint) {
+	link.Serve(endpoint, "echo", func(_ context.Context, from identity.Host, q text) (text, error) {
+		return text{Value: from.Zone + "/" + from.Name + " " + q.Value}, nil
+	})
+}
+
+var _ = Describe("an endpoint", func() {
+	var (
+		all  *site
+		a, b *link.Endpoint
+	)
+	BeforeEach(func() {
+		all = newSite()
+		a, b = all.endpoint("a", "z1"), all.endpoint("b", "z2")
+		echo(b)
+	})
+
+	It("answers a call and proves the caller", func(ctx SpecContext) {
+		answer, err := link.Call[text, text](ctx, a, b.Address(), "echo", text{Value: "hello"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Value).To(Equal("z1/a hello"))
+		Expect(a.Traffic()["echo"].SentBytes).To(BeNumerically(">", 0))
+		Expect(b.Traffic()["echo"].SentMessages).To(Equal(uint64(1)))
+	})
+
+	It("uses one connection both ways", func(ctx SpecContext) {
+		echo(a)
+		_, err := link.Call[text, text](ctx, a, b.Address(), "echo", text{})
+		Expect(err).NotTo(HaveOccurred())
+		answer, err := link.Call[text, text](ctx, b, a.Address(), "echo", text{Value: "back"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Value).To(Equal("z2/b back"))
+	})
+
+	It("carries the code of a handler's error", func(ctx SpecContext) {
+		link.Serve(b, "old", func(context.Context, identity.Host, text) (text, error) {
+			return text{}, &staleError{}
+		})
+		_, err := link.Call[text, text](ctx, a, b.Address(), "old", text{})
+		var remote *link.RemoteError
+		Expect(errors.As(err, &remote)).To(BeTrue())
+		Expect(*remote).To(Equal(link.RemoteError{Code: "stale", Message: "too old"}))
+	})
+
+	It("refuses an unknown kind and a message that fails its check", func(ctx SpecContext) {
+		var remote *link.RemoteError
+		_, err := link.Call[text, text](ctx, a, b.Address(), "nothing", text{})
+		Expect(errors.As(err, &remote)).To(BeTrue())
+		Expect(remote.Code).To(Equal(link.CodeUnknownKind))
+		_, err = link.Call[text, text](ctx, a, b.Address(), "echo", text{Value: "wrong"})
+		Expect(errors.As(err, &remote)).To(BeTrue())
+	})
+
+	It("says that nothing was sent when the peer can't be reached", func(ctx SpecContext) {
+		gone := all.endpoint("c", "z1")
+		address := gone.Address()
+		Expect(gone.Close()).To(Succeed())
+		short, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+		defer cancel()
+		_, err := link.Call[text, text](short, a, address, "echo", text{})
+		var failed *link.CallError
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.Sent).To(BeFalse())
+	})
+
+	It("says that a byte may have left when the peer dies during the call", func(ctx SpecContext) {
+		entered := make(chan struct{})
+		b.Handle("hang", func(ctx context.Context, _ identity.Host, _ *link.Stream) error {
+			close(entered)
+			<-ctx.Done()
+			return ctx.Err()
+		})
+		failure := make(chan error, 1)
+		go func() {
+			_, err := link.Call[text, text](ctx, a, b.Address(), "hang", text{})
+			failure <- err
+		}()
+		Eventually(ctx, entered).Should(BeClosed())
+		Expect(b.Close()).To(Succeed())
+		var err error
+		Eventually(ctx, failure).Should(Receive(&err))
+		var failed *link.CallError
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.Sent).To(BeTrue())
+	})
+
+	It("ends the handler's context when the caller cancels", func(ctx SpecContext) {
+		begun, ended := make(chan struct{}), make(chan struct{})
+		b.Handle("wait", func(ctx context.Context, _ identity.Host, stream *link.Stream) error {
+			_, _ = link.Receive[text](stream)
+			close(begun)
+			_, _ = link.Receive[text](stream)
+			<-ctx.Done()
+			close(ended)
+			return nil
+		})
+		stream, err := a.Open(ctx, b.Address(), "wait")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stream.Sent()).To(BeFalse())
+		Expect(link.Send(stream, text{})).To(Succeed())
+		Expect(stream.Sent()).To(BeTrue())
+		Eventually(ctx, begun).Should(BeClosed())
+		stream.Cancel()
+		Eventually(ctx, ended).Should(BeClosed())
+	})
+
+	It("streams both ways until each side closes", func(ctx SpecContext) {
+		b.Handle("double", func(_ context.Context, _ identity.Host, stream *link.Stream) error {
+			for {
+				message, err := link.Receive[text](stream)
+				if errors.Is(err, io.EOF) {
+					return nil
+				}
+				if err := link.Send(stream, text{Value: message.Value + message.Value}); err != nil {
+					return err
+				}
+			}
+		})
+		stream, err := a.Open(ctx, b.Address(), "double")
+		Expect(err).NotTo(HaveOccurred())
+		for _, value := range []string{"x", "y"} {
+			Expect(link.Send(stream, text{Value: value})).To(Succeed())
+			got, err := link.Receive[text](stream)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(got.Value).To(Equal(value + value))
+		}
+		Expect(stream.CloseWrite()).To(Succeed())
+		_, err = link.Receive[text](stream)
+		Expect(err).To(MatchError(io.EOF))
+	})
+
+	It("delivers notes, also the one that starts the connection", func(ctx SpecContext) {
+		got := make(chan string, 1)
+		b.HandleNotes("probe", func(from identity.Host, _ string, data []byte) { got <- from.Name + string(data) })
+		Expect(a.Notify(b.Address(), "probe", []byte("1"))).To(Succeed())
+		Eventually(ctx, got).Should(Receive(Equal("a1")))
+		Expect(a.Notify(b.Address(), "probe", []byte("2"))).To(Succeed())
+		Eventually(ctx, got).Should(Receive(Equal("a2")))
+		Expect(a.Notify(b.Address(), "probe", make([]byte, link.MaxNote))).NotTo(Succeed())
+	})
+
+	It("connects again after the peer restarted on its address", func(ctx SpecContext) {
+		config := link.Config{Identity: all.source(identity.Host{Name: "c", Zone: "z1"}, time.Hour)}
+		first := listen(config)
+		echo(first)
+		_, err := link.Call[text, text](ctx, a, first.Address(), "echo", text{})
+		Expect(err).NotTo(HaveOccurred())
+		config.Address = first.Address()
+		Expect(first.Close()).To(Succeed())
+		second := listen(config)
+		echo(second)
+		Eventually(ctx, func() error {
+			_, err := link.Call[text, text](ctx, a, second.Address(), "echo", text{})
+			return err
+		}).WithTimeout(10 * time.Second).Should(Succeed())
+	})
+
+	It("takes no host name for an address", func(ctx SpecContext) {
+		_, err := a.Open(ctx, "localhost:1", "echo")
+		var wrong *link.AddressError
+		Expect(errors.As(err, &wrong)).To(BeTrue())
+	})
+})
+
+var _ = Describe("a peer that is turned away", func() {
+	var all *site
+	BeforeEach(func() { all = newSite() })
+
+	// refused calls b from a and wants no answer.
+	refused := func(ctx context.Context, a, b *link.Endpoint) {
+		GinkgoHelper()
+		_, err := link.Call[text, text](ctx, a, b.Address(), "echo", text{})
+		Expect(err).To(HaveOccurred())
+		Eventually(ctx, all.refused.Load).Should(BeNumerically(">", 0))
+	}
+
+	It("has a certificate of another authority", func(ctx SpecContext) {
+		b := all.endpoint("b", "z1")
+		echo(b)
+		other := newSite()
+		trusting, err := identity.Issue(other.authority, identity.Host{Name: "a", Zone: "z1"}, time.Now(), time.Hour)
+		Expect(err).NotTo(HaveOccurred())
+		material, err := identity.Assemble(trusting, all.authority.Certificate)
+		Expect(err).NotTo(HaveOccurred())
+		a := listen(link.Config{Identity: identity.Fixed(material, time.Now, other.log())})
+		refused(ctx, a, b)
+		refused(ctx, b, a)
+	})
+
+	It("has an expired certificate", func(ctx SpecContext) {
+		b := all.endpoint("b", "z1")
+		echo(b)
+		a := listen(link.Config{Identity: all.source(identity.Host{Name: "a", Zone: "z1"}, -time.Minute)})
+		refused(ctx, a, b)
+		refused(ctx, b, a)
+	})
+
+	It("is another host than the one known at the address", func(ctx SpecContext) {
+		b := all.endpoint("b", "z2")
+		echo(b)
+		a := listen(link.Config{
+			Identity: all.source(identity.Host{Name: "a", Zone: "z1"}, time.Hour),
+			Expect:   func(string) (identity.Host, bool) { return identity.Host{Name: "b", Zone: "z1"}, true },
+		})
+		_, err := link.Call[text, text](ctx, a, b.Address(), "echo", text{})
+		var wrong *identity.PeerError
+		Expect(errors.As(err, &wrong)).To(BeTrue())
+		Expect(wrong.Reason).To(Equal(identity.WrongZone))
+	})
+
+	It("let its certificate run out on an open connection", func(ctx SpecContext) {
+		var ahead atomic.Int64
+		now := func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+		b := listen(link.Config{Identity: all.source(identity.Host{Name: "b", Zone: "z1"}, 10*time.Hour), Now: now})
+		echo(b)
+		a := all.endpoint("a", "z1") // its certificate lives an hour
+		_, err := link.Call[text, text](ctx, a, b.Address(), "echo", text{})
+		Expect(err).NotTo(HaveOccurred())
+		ahead.Store(int64(2 * time.Hour))
+		refused(ctx, a, b)
+	})
+})
--- a/internal/site/event/fleet.go
+++ b/internal/site/event/fleet.go
@@ -11,6 +11,8 @@
 	ConfigurationApplied
 	PlatformLost
 	PlatformBack
+	CertificateUnusable
+	ConfigurationDiverged
 )
 
 func fleetEvents() []Entry {
@@ -24,5 +26,7 @@
 		{ConfigurationApplied, Info, "configuration in force", "A higher accepted version arrived.", "Nothing."},
 		{PlatformLost, Warning, "platform unreachable", "Calls fail.", "Check the platform; serving goes on."},
 		{PlatformBack, Info, "platform reachable again", "A call succeeded.", "Nothing."},
+		{CertificateUnusable, Error, "certificate files unusable", "They are missing, don't fit each other, or name another host; the last good certificate stays in use.", "Write a matching certificate and key before the old certificate expires."},
+		{ConfigurationDiverged, Error, "two documents of one version", "The platform lost or replaced the accepted document.", "Submit the document again; the next version settles it."},
 	}
 }
