--- a/internal/fleet/commit/run.go
+++ b/internal/fleet/commit/run.go
@@ -61,6 +61,7 @@
 		limit    *object.LimitError
 		outage   *object.OutageError
 		size     *object.SizeError
+		request  *object.RequestError
 	)
 	switch {
 	case err == nil:
@@ -69,7 +70,7 @@
 		return Answer{Kind: Missing}
 	case errors.As(err, &conflict):
 		return Answer{Kind: Conflict, Version: conflict.Have}
-	case errors.As(err, &limit), errors.As(err, &outage), errors.As(err, &size), call.Op == Get:
+	case errors.As(err, &limit), errors.As(err, &outage), errors.As(err, &size), errors.As(err, &request), call.Op == Get:
 		return Answer{Kind: Down}
 	default:
 		return Answer{Kind: Unknown}
@@ -80,7 +81,8 @@
 // the new version, or a *LostError, *RefusedError or *OpenError.
 func Run(ctx context.Context, store object.Store, update Update) (uint64, error) {
 	for {
-		update = update.Done(Do(ctx, store, update.Call()))
+		answer := Do(ctx, store, update.Call())
+		update = update.Done(answer)
 		switch update.State {
 		case Won:
 			return update.Version, nil
@@ -90,6 +92,9 @@
 			return 0, &RefusedError{Key: update.Key}
 		case Open:
 		}
+		if answer.Kind == Conflict {
+			continue // the read that decides can be made at once
+		}
 		if err := pause(ctx); err != nil {
 			return 0, &OpenError{Key: update.Key, Err: err}
 		}
