Look at an idle connection before writing a call to it

Writing to a connection that its server has closed succeeds in the kernel, so the first call after a service's restart ended as possibly sent, and one that may not be repeated was lost for its caller. A connection that is used again is now peeked at first. When it is closed, or holds bytes that nobody asked for, it is sealed and the call goes to another one. A path that doesn't start with a slash is refused, since it would become a part of the host's name.

--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 )
 
@@ -19,7 +20,7 @@
 const (
 	DefaultTimeout = 10 * time.Second // for a call whose context has no deadline
 	MaxAnswer      = 64 << 20         // bytes of an answer's body
-	mostAttempts   = 3                // connections tried before a byte is written
+	mostAttempts   = idlePerHost + 1  // connections tried before a byte is written
 )
 
 // HeaderRan is set to "no" by a system that refuses a call before any work.
@@ -94,6 +95,10 @@
 }
 
 func (c Caller) request(ctx context.Context, call Call) (*http.Request, error) {
+	if !strings.HasPrefix(call.Path, "/") {
+		// Such a path would become a part of the host's name.
+		return nil, fmt.Errorf("path %q doesn't start with a slash", call.Path)
+	}
 	target := c.Base + call.Path
 	if len(call.Query) > 0 {
 		target += "?" + call.Query.Encode()
--- a/internal/platform/rest/rest_test.go
+++ b/internal/platform/rest/rest_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,10 +26,12 @@
 	writes   []int // bytes to write before each failure
 	foreign  bool  // connections aren't counted
 	attempts int
+	requests int
 	conns    []net.Conn
 }
 
 func (t *transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	t.requests++
 	if t.attempts >= len(t.writes) {
 		body := io.NopCloser(strings.NewReader("ok"))
 		return &http.Response{StatusCode: http.StatusOK, Body: body, Request: request}, nil
@@ -51,7 +55,7 @@
 		func(ctx SpecContext, writes []int, foreign bool, attempts int, lost, sent bool) {
 			fake := &transport{writes: writes, foreign: foreign}
 			caller := Caller{Base: "http://127.0.0.1:1", HTTP: &http.Client{Transport: fake}}
-			_, err := caller.Do(ctx, Call{Method: http.MethodPost, Body: []byte("b")})
+			_, err := caller.Do(ctx, Call{Method: http.MethodPost, Path: "/", Body: []byte("b")})
 			Expect(fake.attempts).To(Equal(attempts))
 			failed, broken := errors.AsType[*LostError](err)
 			Expect(broken).To(Equal(lost), "%v", err)
@@ -61,21 +65,83 @@
 		},
 		Entry("closed while idle", []int{0}, false, 1, false, false),
 		Entry("closed twice", []int{0, 0}, false, 2, false, false),
-		Entry("closed each time", []int{0, 0, 0, 0}, false, 3, true, false),
+		Entry("closed each time", make([]int, 99), false, mostAttempts, true, false),
 		Entry("one byte has left", []int{1}, false, 1, true, true),
 		Entry("one byte has left on the second", []int{0, 1}, false, 2, true, true),
 		Entry("not known what has left", []int{0}, true, 1, true, true),
 	)
 
 	It("writes nothing to a connection after saying that nothing was sent", func(ctx SpecContext) {
-		fake := &transport{writes: []int{0, 0, 0}}
+		fake := &transport{writes: make([]int, mostAttempts)}
 		caller := Caller{Base: "http://127.0.0.1:1", HTTP: &http.Client{Transport: fake}}
-		_, err := caller.Do(ctx, Call{Method: http.MethodPost, Body: []byte("b")})
+		_, err := caller.Do(ctx, Call{Method: http.MethodPost, Path: "/", Body: []byte("b")})
 		Expect(err).To(HaveOccurred())
-		_, err = fake.conns[2].Write([]byte("late"))
+		_, err = fake.conns[mostAttempts-1].Write([]byte("late"))
 		Expect(err).To(MatchError(errSealed))
 	})
 
+	It("sends nothing on a connection that its server has closed", func(ctx SpecContext) {
+		client := NewClient()
+		var calls atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+		address := server.Listener.Addr().String()
+		caller := Caller{Base: server.URL, HTTP: client}
+		call := Call{Method: http.MethodPost, Path: "/", Body: []byte("b")}
+		_, err := caller.Do(ctx, call)
+		Expect(err).NotTo(HaveOccurred())
+		server.Close()
+		_, err = caller.Do(ctx, call)
+		failed, broken := errors.AsType[*LostError](err)
+		Expect(broken).To(BeTrue())
+		Expect(failed.Sent).To(BeFalse())
+
+		listener, err := net.Listen("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		server = httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+		Expect(server.Listener.Close()).To(Succeed())
+		server.Listener = listener
+		server.Start()
+		defer server.Close()
+		_, err = caller.Do(ctx, call)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(calls.Load()).To(Equal(int64(2)))
+	})
+
+	It("finds closed connections and unasked bytes", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer listener.Close()
+		open := func() (near, far net.Conn) {
+			near, err := net.Dial("tcp", listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			far, err = listener.Accept()
+			Expect(err).NotTo(HaveOccurred())
+			return near, far
+		}
+		near, far := open()
+		Expect(stale(near)).To(BeFalse())
+		_, err = far.Write([]byte("x"))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() bool { return stale(near) }).Should(BeTrue())
+		near, far = open()
+		Expect(far.Close()).To(Succeed())
+		Eventually(func() bool { return stale(near) }).Should(BeTrue())
+		Expect(near.Close()).To(Succeed())
+		Expect(stale(near)).To(BeTrue())
+	})
+
+	It("lets no path reach into the name of the host", func(ctx SpecContext) {
+		fake := &transport{}
+		caller := Caller{Base: "http://127.0.0.1:1", HTTP: &http.Client{Transport: fake}}
+		for _, path := range []string{"", "2/x", "@127.0.0.2/x", ".example/x"} {
+			_, err := caller.Do(ctx, Call{Method: http.MethodGet, Path: path})
+			failed, broken := errors.AsType[*LostError](err)
+			Expect(broken).To(BeTrue())
+			Expect(failed.Sent).To(BeFalse())
+		}
+		Expect(fake.requests).To(BeZero())
+	})
+
 	DescribeTable("reads the wait that a system asks for",
 		func(header string, milliseconds int, want time.Duration) {
 			Expect(after(header, int64(milliseconds))).To(Equal(want))
--- a/internal/platform/rest/written.go
+++ b/internal/platform/rest/written.go
@@ -67,8 +67,12 @@
 	defer t.mu.Unlock()
 	t.obtained = true
 	t.conn, _ = info.Conn.(*countedConn)
-	if t.conn != nil {
-		t.start = t.conn.count()
+	if t.conn == nil {
+		return
+	}
+	t.start = t.conn.count()
+	if info.Reused && stale(t.conn.Conn) {
+		t.conn.seal(t.start)
 	}
 }
 
