--- a/internal/backend/service/client_test.go
+++ b/internal/backend/service/client_test.go
@@ -85,6 +85,15 @@
 		broken, _ := errors.AsType[*service.BrokenError](err)
 		Expect(broken).NotTo(BeNil())
 		Expect(broken.Sent).To(BeFalse())
+		Expect(server.Restart()).To(Succeed())
+		Expect(server.Restart()).To(Succeed())
+		_, err = (&service.Client{Base: server.URL()}).Call(ctx, request())
+		Expect(err).NotTo(HaveOccurred())
+		server.Close()
+		Expect(server.Restart()).To(Succeed())
+		_, err = (&service.Client{Base: server.URL()}).Call(ctx, request())
+		Expect(errors.As(err, &broken)).To(BeTrue())
+		Expect(broken.Sent).To(BeFalse())
 	}, SpecTimeout(10*time.Second))
 
 	It("takes no answer whose end can't be told", func(ctx SpecContext) {
--- a/internal/standin/command/servers.go
+++ b/internal/standin/command/servers.go
@@ -235,8 +235,9 @@
 
 type serviceCommand struct {
 	listening
-	Slots  int    `help:"Calls at once; 0 for no bound."`
-	Poison string `help:"A body with this text crashes the service."`
+	Slots   int           `help:"Calls at once; 0 for no bound."`
+	Poison  string        `help:"A body with this text crashes the service."`
+	Restart time.Duration `default:"2s" help:"Time from a crash to the next start; 0 for never."`
 }
 
 func (c *serviceCommand) Run(env environment) error {
@@ -244,7 +245,7 @@
 	if err != nil {
 		return err
 	}
-	running := service.New(service.Settings{Slots: c.Slots, Poison: c.Poison, Faults: script})
+	running := service.New(service.Settings{Slots: c.Slots, Poison: c.Poison, Restart: c.Restart, Faults: script})
 	if err := serve(env, "service", c.Address, running); err != nil {
 		return err
 	}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -25,13 +26,15 @@
 const HeaderKey = "Idempotency-Key"
 
 // Settings configures a stand-in. Answer, when set, makes the answer's body;
-// otherwise the request's body comes back. A body with Poison crashes it.
+// otherwise the request's body comes back. A body with Poison crashes it, and
+// it starts again after Restart; zero means never.
 type Settings struct {
-	Answer func(path string, body []byte) []byte
-	Slots  int // calls at once; zero for no bound
-	Poison string
-	Record bool
-	Faults *fault.Script
+	Answer  func(path string, body []byte) []byte
+	Slots   int // calls at once; zero for no bound
+	Poison  string
+	Restart time.Duration
+	Record  bool
+	Faults  *fault.Script
 }
 
 // Service is the stand-in. It gives no protection of its own against repeats.
@@ -39,7 +42,9 @@
 	settings Settings
 	server   web.Server
 	done     chan struct{}
-	once     sync.Once
+
+	life   sync.Mutex // held while the service starts again or closes
+	closed bool
 
 	mu      sync.Mutex
 	ran     map[string]int
@@ -82,15 +87,31 @@
 	s.crashes++
 	s.mu.Unlock()
 	s.server.Stop()
+	if wait := s.settings.Restart; wait > 0 {
+		time.AfterFunc(wait, func() { _ = s.Restart() })
+	}
 }
 
-// Restart listens again on the same address.
-func (s *Service) Restart() error { return s.server.Again() }
+// Restart listens again on the same address, unless the service is closed or
+// listens already.
+func (s *Service) Restart() error {
+	s.life.Lock()
+	defer s.life.Unlock()
+	if s.closed || s.server.Up() {
+		return nil
+	}
+	return s.server.Again()
+}
 
 // Close stops the service for good.
 func (s *Service) Close() {
+	s.life.Lock()
+	defer s.life.Unlock()
 	s.server.Stop()
-	s.once.Do(func() { close(s.done) })
+	if !s.closed {
+		s.closed = true
+		close(s.done)
+	}
 }
 
 // Executions returns how often a call was carried out. Its name is its
