Log when the platform is lost and back, and count calls to it

The platform bills each call, a waiting watch as one, so a host shows its counts by expvar. A refusal for a conflict or the rate shows that the platform is there, and a call that its caller gave up says nothing.

--- /dev/null
+++ b/internal/platform/object/monitor.go
@@ -0,0 +1,96 @@
+package object
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"sync"
+
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+)
+
+// Monitor is a Store that counts the calls to another one, which the platform
+// bills, and logs when the platform is lost and when it is back. Store must be
+// set; a nil Vars counts nothing. It is safe for concurrent use.
+type Monitor struct {
+	Store Store
+	Log   event.Log
+	// Vars receives the number of calls as "platform.CALL" and that of failed
+	// ones as "platform.CALL.failed".
+	Vars *expvar.Map
+
+	mu   sync.Mutex
+	lost bool
+}
+
+// Get implements Reader.
+func (m *Monitor) Get(ctx context.Context, key string) (Object, error) {
+	found, err := m.Store.Get(ctx, key)
+	m.note("get", err)
+	return found, err
+}
+
+// List implements Reader.
+func (m *Monitor) List(ctx context.Context, prefix string) (Batch, error) {
+	batch, err := m.Store.List(ctx, prefix)
+	m.note("list", err)
+	return batch, err
+}
+
+// Watch implements Reader.
+func (m *Monitor) Watch(ctx context.Context, prefix string, after uint64) (Batch, error) {
+	batch, err := m.Store.Watch(ctx, prefix, after)
+	m.note("watch", err)
+	return batch, err
+}
+
+// Put implements Writer.
+func (m *Monitor) Put(ctx context.Context, key string, value []byte, expect uint64) (Object, error) {
+	stored, err := m.Store.Put(ctx, key, value, expect)
+	m.note("put", err)
+	return stored, err
+}
+
+// Delete implements Writer.
+func (m *Monitor) Delete(ctx context.Context, key string, expect uint64) error {
+	err := m.Store.Delete(ctx, key, expect)
+	m.note("delete", err)
+	return err
+}
+
+func (m *Monitor) note(call string, err error) {
+	down := unreachable(err)
+	if m.Vars != nil {
+		m.Vars.Add("platform."+call, 1)
+	}
+	if m.Vars != nil && down {
+		m.Vars.Add("platform."+call+".failed", 1)
+	}
+	if errors.Is(err, context.Canceled) || !m.turn(down) {
+		return
+	}
+	if down {
+		m.Log.Emit(event.PlatformLost, "call", call, "err", err.Error())
+		return
+	}
+	m.Log.Emit(event.PlatformBack, "call", call)
+}
+
+// turn returns whether the platform was lost or came back.
+func (m *Monitor) turn(down bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	changed := m.lost != down
+	m.lost = down
+	return changed
+}
+
+// unreachable says whether a call failed for want of an answer. A refusal, such
+// as for a conflict or for the rate, shows that the platform is there.
+func unreachable(err error) bool {
+	if _, outage := errors.AsType[*OutageError](err); outage {
+		return true
+	}
+	_, unknown := errors.AsType[*UnknownError](err)
+	return unknown
+}
