entry/queue: learn what requests of a workspace take

Deadlines were judged by declared tokens at a fixed speed, and callers declare far more than they use. The queue now learns, by workspace, the used part of the declared tokens and the time that whole answers take.

More is served, but the worst-served workspace loses under a flood: requests that wait at a crowded home are now given up sooner, while other homes have room for the workspace. The choice of a home has to see its waits.

--- a/internal/entry/compare/home.go
+++ b/internal/entry/compare/home.go
@@ -41,7 +41,7 @@
 		if !ok {
 			return
 		}
-		h.send(item.Value.(*flight), id, choice, item.Tokens)
+		h.send(item.Value.(*flight), id, choice, item)
 	}
 }
 
@@ -56,23 +56,25 @@
 	return need
 }
 
-// send starts a leg. charged is what the queue was charged for it.
-func (h *host) send(fi *flight, id int, choice route.Choice, charged int) {
+// send starts a leg. item is what the queue was charged for it, zero for a
+// hedge, which is charged in full at its end.
+func (h *host) send(fi *flight, id int, choice route.Choice, item queue.Item) {
 	fi.state, _ = attempt.Next(fi.state, attempt.Event{Kind: attempt.EventSend, Leg: id})
 	l := &leg{id: id, request: fi.request}
-	l.done = func(l *leg, e ending) { h.ended(fi, l, e, charged) }
+	l.done = func(l *leg, e ending) { h.ended(fi, l, e, item) }
 	fi.legs[id] = l
 	h.hedgeLater(fi)
 	h.fakes[choice.Server].submit(l)
 }
 
-func (h *host) ended(fi *flight, l *leg, e ending, charged int) {
+func (h *host) ended(fi *flight, l *leg, e ending, item queue.Item) {
 	now := h.fleet.world.now
 	delete(fi.legs, l.id)
 	h.engines.Release(now, l.engine.name, fmt.Sprint(l.id), route.Outcome{
 		Tokens: e.tokens, Elapsed: now.Sub(l.sent), Failed: !e.whole,
 	})
-	h.queue.Settle(h.workspace(fi), charged, e.tokens)
+	item.Workspace = h.workspace(fi)
+	h.queue.Settle(item, queue.Result{Used: e.tokens, Took: now.Sub(l.sent), Whole: e.whole})
 	event := attempt.Event{Kind: attempt.EventAnswer, Leg: l.id}
 	if !e.whole {
 		event = attempt.Event{Kind: attempt.EventBroken, Leg: l.id, Unsent: e.unsent, Budget: h.fleet.mayRetry(fi)}
@@ -137,7 +139,7 @@
 		h.engines.Release(now, choice.Server, fmt.Sprint(id), route.Outcome{})
 		return
 	}
-	h.send(fi, id, choice, 0)
+	h.send(fi, id, choice, queue.Item{})
 }
 
 func (h *host) workspace(fi *flight) string {
--- a/internal/entry/queue/pop.go
+++ b/internal/entry/queue/pop.go
@@ -27,7 +27,7 @@
 		}
 		if accept != nil && !accept(*head) {
 			f.blocked = q.pops
-			f.credit = min(f.credit, head.Tokens)
+			f.credit = min(f.credit, head.charged)
 			continue
 		}
 		q.serve(now, f, head)
@@ -38,10 +38,10 @@
 }
 
 func (q *Queue) serve(now time.Time, f *flow, head *Item) {
-	f.credit -= head.Tokens
-	f.used += int64(head.Tokens)
+	f.credit -= head.charged
+	f.used += int64(head.charged)
 	q.cut(f, 0)
-	q.rate.add(now, head.Tokens, q.waiting > 0)
+	q.rate.add(now, head.charged, q.waiting > 0)
 }
 
 // turn is where the round robin stood before a Pop.
@@ -93,7 +93,7 @@
 		f := q.ring[q.at]
 		if f.blocked != q.pops {
 			q.visit(f)
-			if f.credit >= f.items[0].Tokens {
+			if f.credit >= f.items[0].charged {
 				return f
 			}
 		}
@@ -129,7 +129,7 @@
 			continue
 		}
 		gain := q.quantum() * f.weight
-		rounds := (f.items[0].Tokens - f.credit + gain - 1) / gain
+		rounds := (f.items[0].charged - f.credit + gain - 1) / gain
 		if least < 0 || rounds < least {
 			least = rounds
 		}
--- a/internal/entry/queue/push.go
+++ b/internal/entry/queue/push.go
@@ -10,8 +10,8 @@
 func (q *Queue) Push(now time.Time, item Item) (shed []Shed, err error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	item.Tokens = max(1, item.Tokens)
 	f := q.flowOf(item.Workspace)
+	item.charged = max(1, int(f.ratio*float64(item.Tokens)))
 	if q.closed {
 		return nil, &RefusedError{ID: item.ID, Reason: ReasonClosed, After: minAfter}
 	}
@@ -27,7 +27,6 @@
 	}
 	q.order++
 	item.order = q.order
-	item.arrived = now
 	q.insert(f, &item)
 	return shed, nil
 }
@@ -72,12 +71,16 @@
 }
 
 // Settle charges the difference between the expected and the true tokens of a
-// request that Pop returned (rule 2).
-func (q *Queue) Settle(workspace string, expected, used int) {
+// request that Pop returned (rule 2), and learns from a whole answer what later
+// ones take.
+func (q *Queue) Settle(item Item, result Result) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	f := q.flowOf(workspace)
-	extra := used - max(1, expected)
+	f := q.flowOf(item.Workspace)
+	if result.Whole {
+		f.learn(item, result)
+	}
+	extra := result.Used - item.charged
 	f.credit -= extra
 	f.used += int64(extra)
 	q.rate.correct(extra)
@@ -90,7 +93,7 @@
 	if q.flows == nil {
 		q.flows = make(map[string]*flow)
 	}
-	f := &flow{name: workspace, weight: q.weight(workspace)}
+	f := &flow{name: workspace, weight: q.weight(workspace), ratio: 1}
 	q.flows[workspace] = f
 	return f
 }
@@ -102,7 +105,7 @@
 	}
 	at, _ := slices.BinarySearchFunc(f.items, item, compareItems)
 	f.items = slices.Insert(f.items, at, item)
-	f.backlog += item.Tokens
+	f.backlog += item.charged
 	q.waiting++
 }
 
@@ -147,7 +150,7 @@
 func (q *Queue) cut(f *flow, at int) *Item {
 	item := f.items[at]
 	f.items = slices.Delete(f.items, at, at+1)
-	f.backlog -= item.Tokens
+	f.backlog -= item.charged
 	q.waiting--
 	if len(f.items) == 0 {
 		q.leave(f)
--- a/internal/entry/queue/queue.go
+++ b/internal/entry/queue/queue.go
@@ -7,11 +7,13 @@
 //
 //  1. Each workspace that waits gets quantum x weight tokens of credit a
 //     round, and its head runs when the credit covers the expected tokens.
-//  2. The difference between expected and true tokens is charged when the
-//     request ends. Credit may thus be negative; a debt outlives an idle
-//     spell, and rounds that pass meanwhile repay it. A credit does not.
+//  2. Expected tokens are the declared ones times what the workspace's past
+//     answers used of theirs. The difference to the true tokens is charged
+//     when the request ends. Credit may thus be negative; a debt outlives an
+//     idle spell, and rounds that pass meanwhile repay it. A credit does not.
 //  3. Inside a workspace a higher priority runs first, then the earlier.
-//  4. A request whose deadline can't be met at the rate of its workspace is
+//  4. A request takes as long as the slower past answers of its workspace. One
+//     whose deadline can't be met at the rate of its workspace is
 //     refused on arrival; one that becomes hopeless while it waits is shed.
 //     Either is final at once, and nothing of it ran.
 //  5. A full queue takes a request of a workspace below its fair part of the
@@ -26,7 +28,8 @@
 	"time"
 )
 
-// Item is a waiting request. Tokens is its expected cost, at least one.
+// Item is a waiting request. Tokens is the cost that its caller declares; Pop
+// returns it as given, and Charged tells what the workspace was charged.
 // Deadline is when an answer is of no use any more; zero means never.
 type Item struct {
 	ID        string
@@ -36,17 +39,27 @@
 	Deadline  time.Time
 	Value     any // the caller's own, not read here
 
-	arrived time.Time
+	charged int
 	order   uint64
 }
 
+// Result is how a request that Pop returned ended. Took is the time from Pop.
+type Result struct {
+	Used  int // tokens
+	Took  time.Duration
+	Whole bool
+}
+
+// Charged returns the tokens that are charged for the item until Settle.
+func (i Item) Charged() int { return i.charged }
+
 // Config bounds a queue. Zero fields take the defaults.
 type Config struct {
 	Quantum  int            // tokens of credit a round for weight one
 	Places   int            // requests waiting in all
 	Weights  map[string]int // of workspaces; a missing one means one
 	Rate     float64        // tokens a second served before any was measured
-	MinSpeed float64        // tokens a second of one request, for its running time; zero ignores it
+	MinSpeed float64        // tokens a second of one request before any was measured; zero ignores it
 }
 
 // The defaults of Config.
@@ -107,10 +120,12 @@
 	items   []*Item // ordered by rule 3
 	backlog int     // expected tokens of items
 	credit  int
-	marked  int    // credit before the Pop under way
-	round   uint64 // when it last left or joined the ring
-	blocked uint64 // the last Pop that found its head unacceptable
-	used    int64  // tokens charged in all
+	marked  int     // credit before the Pop under way
+	round   uint64  // when it last left or joined the ring
+	blocked uint64  // the last Pop that found its head unacceptable
+	used    int64   // tokens charged in all
+	ratio   float64 // tokens used for each one declared
+	took    estimate
 }
 
 func (q *Queue) quantum() int {
--- a/internal/entry/queue/queue_test.go
+++ b/internal/entry/queue/queue_test.go
@@ -37,7 +37,9 @@
 	Pop    int
 	Block  string // workspace whose items are not accepted
 	Want   string // identifiers popped, in order
-	Settle string
+	Settle string // identifier popped before
+	Whole  bool
+	Took   int // milliseconds
 	Used   int
 	Sweep  bool
 	Close  bool
@@ -51,9 +53,10 @@
 }
 
 type player struct {
-	q     *queue.Queue
-	names map[string]int
-	shed  string
+	q      *queue.Queue
+	names  map[string]int
+	popped map[string]queue.Item
+	shed   string
 }
 
 func (p *player) play(s step) {
@@ -65,7 +68,7 @@
 	case s.Pop > 0:
 		Expect(p.pop(now, s)).To(Equal(s.Want), s.Note)
 	case s.Settle != "":
-		p.q.Settle(s.Settle, s.Tokens, s.Used)
+		p.q.Settle(p.popped[s.Settle], queue.Result{Used: s.Used, Took: time.Duration(s.Took) * time.Millisecond, Whole: s.Whole})
 	case s.Sweep:
 		p.note(p.q.Sweep(now))
 	case s.Close:
@@ -103,6 +106,7 @@
 		p.note(shed)
 		if ok {
 			got += item.ID + " "
+			p.popped[item.ID] = item
 		}
 	}
 	return got
@@ -120,7 +124,7 @@
 	It("has cases", func() { Expect(err).NotTo(HaveOccurred()) })
 	for _, c := range all {
 		It(c.Name, func() {
-			p := player{q: queue.New(c.Data.Config), names: map[string]int{}}
+			p := player{q: queue.New(c.Data.Config), names: map[string]int{}, popped: map[string]queue.Item{}}
 			for _, s := range c.Data.Steps {
 				p.play(s)
 			}
@@ -179,7 +183,7 @@
 			t.Fatal("queue ran dry")
 		}
 		used := item.Tokens * factor[item.Workspace]
-		q.Settle(item.Workspace, item.Tokens, used)
+		q.Settle(item, queue.Result{Used: used, Whole: true})
 		got[item.Workspace] += used
 	}
 	return got, weights, most
@@ -216,7 +220,7 @@
 			end(shed)
 			if ok {
 				ends[got.ID]++
-				q.Settle(got.Workspace, got.Tokens, got.Tokens/2)
+				q.Settle(got, queue.Result{Used: got.Tokens / 2, Took: time.Second, Whole: true})
 			}
 		case 3:
 			if q.Remove(item.Workspace, item.ID) {
--- a/internal/entry/queue/wait.go
+++ b/internal/entry/queue/wait.go
@@ -1,6 +1,9 @@
 package queue
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // The bounds of a Retry-After.
 const (
@@ -55,7 +58,7 @@
 		if item.Priority < priority {
 			break
 		}
-		ahead += item.Tokens
+		ahead += item.charged
 	}
 	ahead += max(0, -f.credit)
 	part := float64(f.weight) / float64(q.weights(f))
@@ -92,14 +95,58 @@
 	if item.Deadline.IsZero() {
 		return false
 	}
-	if q.config.MinSpeed > 0 {
-		start = start.Add(time.Duration(float64(item.Tokens) / q.config.MinSpeed * float64(time.Second)))
+	return start.Add(q.takes(item)).After(item.Deadline)
+}
+
+// takes estimates how long a request runs (rule 4).
+func (q *Queue) takes(item Item) time.Duration {
+	if f := q.flows[item.Workspace]; f != nil && f.took.known {
+		return f.took.slow()
 	}
-	return start.After(item.Deadline)
+	if q.config.MinSpeed <= 0 {
+		return 0
+	}
+	return time.Duration(float64(item.charged) / q.config.MinSpeed * float64(time.Second))
 }
 
 func clampAfter(wait time.Duration) time.Duration { return min(max(wait, minAfter), maxAfter) }
 
+// The weights of one answer in what is learned of a workspace. Requests are
+// expected to take the mean and takesSpread mean deviations.
+const (
+	ratioGain   = 0.05
+	tookGain    = 0.05
+	takesSpread = 2
+)
+
+// estimate is a running mean of times in seconds and of their deviation from it.
+type estimate struct {
+	mean, spread float64
+	known        bool
+}
+
+func (e *estimate) add(took time.Duration) {
+	if !e.known {
+		e.mean, e.spread, e.known = took.Seconds(), took.Seconds()/2, true
+		return
+	}
+	e.spread += tookGain * (math.Abs(took.Seconds()-e.mean) - e.spread)
+	e.mean += tookGain * (took.Seconds() - e.mean)
+}
+
+func (e *estimate) slow() time.Duration {
+	return time.Duration((e.mean + takesSpread*e.spread) * float64(time.Second))
+}
+
+func (f *flow) learn(item Item, result Result) {
+	if item.Tokens > 0 {
+		f.ratio += ratioGain * (float64(result.Used)/float64(item.Tokens) - f.ratio)
+	}
+	if result.Took > 0 {
+		f.took.add(result.Took)
+	}
+}
+
 // drainWindow is the time over which the drain rate is sampled.
 const drainWindow = time.Second
 
