--- a/cmd/hyssopwall/main.go
+++ b/cmd/hyssopwall/main.go
@@ -1,4 +1,19 @@
-// Command hyssopwall is described in the README.
+// Command hyssopwall is a rollout service for reinforcement learning: the
+// process that runs on each entry host, and the tools of its operators.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/hyssopwall/hyssopwall/internal/host/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := command.Run(ctx, os.Args[1:], command.Streams{Out: os.Stdout, Err: os.Stderr})
+	stop()
+	os.Exit(code)
+}
--- a/internal/entry/queue/push.go
+++ b/internal/entry/queue/push.go
@@ -189,3 +189,13 @@
 	after := clampAfter(q.waitOf(f, item.Priority))
 	return Shed{Item: *item, Refusal: RefusedError{ID: item.ID, Reason: reason, After: after}}
 }
+
+// SetWeights replaces the weights of the workspaces, for a new document.
+func (q *Queue) SetWeights(weights map[string]int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.config.Weights = weights
+	for name, f := range q.flows {
+		f.weight = q.weight(name)
+	}
+}
--- a/internal/entry/route/pick.go
+++ b/internal/entry/route/pick.go
@@ -162,3 +162,52 @@
 		return cmp.Or(cmp.Compare(a.fill(a.sent), b.fill(b.sent)), cmp.Compare(a.Host, b.Host))
 	})
 }
+
+// Live returns the summaries of a pool that have not expired, with what was
+// sent since counted as running, ordered by host.
+func (p *Picker) Live(now time.Time, pool string) []Summary {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var live []Summary
+	for _, h := range p.pools[pool] {
+		if now.Sub(h.At) > summaryExpiry {
+			continue
+		}
+		s := h.Summary
+		s.Running += h.sent
+		live = append(live, s)
+	}
+	slices.SortFunc(live, func(a, b Summary) int { return cmp.Compare(a.Host, b.Host) })
+	return live
+}
+
+// Sent counts a request that went to a home without Pick.
+func (p *Picker) Sent(pool, host string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.pools[pool] {
+		if h.Host == host {
+			h.sent++
+		}
+	}
+}
+
+// LearnHost takes in everything that a host says of its pools at a time. Pools
+// that it no longer names are forgotten: it is home to none of their backend
+// servers any more.
+func (p *Picker) LearnHost(received time.Time, host string, summaries []Summary) {
+	named := make(map[string]bool, len(summaries))
+	for _, s := range summaries {
+		if s.Host == host {
+			named[s.Pool] = true
+			p.Learn(received, s)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for pool, homes := range p.pools {
+		if !named[pool] {
+			p.pools[pool] = slices.DeleteFunc(homes, func(h *home) bool { return h.Host == host })
+		}
+	}
+}
--- /dev/null
+++ b/internal/host/api/invoke.go
@@ -0,0 +1,72 @@
+package api
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/service"
+	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
+	"github.com/hyssopwall/hyssopwall/internal/site/document"
+)
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Host",
+}
+
+// invoke passes a request on to a plain service and its answer back.
+func (s *Server) invoke(c echo.Context) error {
+	path := "/" + c.Param("*")
+	call, err := s.admit(c, c.Param("name"), document.Service, path)
+	if err != nil {
+		return err
+	}
+	request, err := serviceRequest(c, call, path)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithDeadline(c.Request().Context(), call.Deadline)
+	defer stop()
+	answer, err := s.Dispatcher.Invoke(ctx, call, request)
+	if err != nil {
+		return err
+	}
+	return writeAnswer(c, answer)
+}
+
+func serviceRequest(c echo.Context, call Call, path string) (service.Request, error) {
+	body, err := readBody(c)
+	if err != nil {
+		return service.Request{}, err
+	}
+	target := (&url.URL{Path: path, RawQuery: c.Request().URL.RawQuery}).RequestURI()
+	clean, ok := gate.StripPath(target, call.Key)
+	if !ok || gate.BodyHolds(body, call.Key) {
+		return service.Request{}, Refuse(BadRequest, "the request holds the caller's key outside its header")
+	}
+	header := gate.StripHeader(c.Request().Header, call.Key)
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+	return service.Request{ID: call.ID, Method: c.Request().Method, Path: clean, Header: header, Body: body}, nil
+}
+
+func writeAnswer(c echo.Context, answer service.Answer) error {
+	header := c.Response().Header()
+	for name, values := range answer.Header {
+		header[http.CanonicalHeaderKey(name)] = values
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	header.Set(requestHeader, answer.ID)
+	c.Response().WriteHeader(answer.Status)
+	_, err := c.Response().Write(answer.Body)
+	return err
+}
--- /dev/null
+++ b/internal/host/command/demo.go
@@ -0,0 +1,59 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/hyssopwall/hyssopwall/internal/host/demo"
+)
+
+type demoCommand struct {
+	output
+	Deployment string `enum:"forge,consortium,both" default:"both" help:"The site to run: forge, consortium or both."`
+	Seconds    int    `default:"10" help:"Length of the workload in seconds."`
+	Seed       uint64 `default:"1" help:"Seed of the load."`
+	Hold       bool   `help:"Keep the site running after the report, until interrupted."`
+}
+
+// Run runs the chosen deployments one after the other.
+func (c demoCommand) Run(ctx context.Context, streams Streams) error {
+	if c.Seconds < 1 {
+		return &usageError{reason: "--seconds must be 1 or more"}
+	}
+	var reports []demo.Report
+	broken := 0
+	for _, deployment := range c.deployments() {
+		report, err := demo.Run(ctx, deployment, demo.Settings{Seconds: c.Seconds, Seed: c.Seed, Progress: streams.Err, Hold: c.Hold})
+		if err != nil {
+			return err
+		}
+		reports = append(reports, report)
+		broken += report.Broken()
+	}
+	err := c.show(streams, reports, func() error {
+		for _, report := range reports {
+			if err := report.Write(streams.Out); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if broken > 0 {
+		return &FailedError{Reason: fmt.Sprintf("%d promises broken", broken)}
+	}
+	return nil
+}
+
+func (c demoCommand) deployments() []demo.Deployment {
+	switch c.Deployment {
+	case "forge":
+		return []demo.Deployment{demo.Forge()}
+	case "consortium":
+		return []demo.Deployment{demo.Consortium()}
+	default:
+		return []demo.Deployment{demo.Forge(), demo.Consortium()}
+	}
+}
--- /dev/null
+++ b/internal/host/demo/report.go
@@ -0,0 +1,192 @@
+package demo
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/standin/load"
+	"github.com/hyssopwall/hyssopwall/internal/standin/platform"
+	"github.com/hyssopwall/hyssopwall/internal/standin/trainer"
+)
+
+// withdrawnWithin is the time after which a withdrawn key must work nowhere.
+const withdrawnWithin = 5 * time.Second
+
+// Promise is one promise of the service, and how often it was checked and
+// broken.
+type Promise struct {
+	Text    string `json:"text"`
+	Checked int    `json:"checked"`
+	Broken  int    `json:"broken"`
+}
+
+// Report is what a run of the demo measured.
+type Report struct {
+	Deployment string           `json:"deployment"`
+	Hosts      int              `json:"hosts"`
+	Trainers   []trainer.Report `json:"trainers"`
+	Load       load.Report      `json:"load"`
+	Weights    uint64           `json:"weights"`
+	Withdrawn  time.Duration    `json:"withdrawn"` // until a withdrawn key was refused everywhere
+	Calls      map[string]int   `json:"calls"`     // to the platform, by kind
+	Events     map[string]int   `json:"events"`
+	Promises   []Promise        `json:"promises"`
+}
+
+// Broken returns the number of broken promises.
+func (r Report) Broken() int {
+	broken := 0
+	for _, p := range r.Promises {
+		broken += p.Broken
+	}
+	return broken
+}
+
+func (r *running) report() Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	report := Report{
+		Deployment: r.deployment.Name, Hosts: len(r.site.Hosts()), Trainers: r.trainers, Load: r.load,
+		Weights: r.site.Platform.Newest(r.deployment.Model), Withdrawn: r.withdrew.stopped,
+		Calls: make(map[string]int), Events: r.events.byName(),
+	}
+	for _, call := range []platform.Call{platform.Get, platform.Put, platform.List, platform.Watch, platform.Servers, platform.Hosts, platform.Newest, platform.Report} {
+		report.Calls[string(call)] = r.site.Platform.Calls(call)
+	}
+	report.Promises = r.promises(report)
+	return report
+}
+
+func (r *running) promises(report Report) []Promise {
+	all := samplePromises(report.Trainers)
+	answered, wrong := 0, 0
+	for _, line := range report.Load.Lines {
+		answered += line.Answered
+		wrong += line.Wrong
+	}
+	all = append(all,
+		Promise{Text: "Every caller gets the whole answer to its own request", Checked: answered, Broken: wrong},
+		r.onlyOnce(), r.noKeys(), r.withdrawalPromise(),
+		Promise{Text: "Orders come from one process only", Checked: len(r.site.Platform.Orders()), Broken: r.site.Platform.StaleOrders()},
+	)
+	return all
+}
+
+func samplePromises(reports []trainer.Report) []Promise {
+	var sum trainer.Report
+	for _, one := range reports {
+		sum.Samples += one.Samples
+		sum.Steps += one.Steps
+		sum.Bare += one.Bare
+		sum.Stale += one.Stale
+		sum.Doubled += one.Doubled + one.Backward
+		sum.Missing += one.Missing + one.Failed
+		sum.Damaged += one.Damaged + one.Foreign + one.Wrong
+	}
+	return []Promise{
+		{Text: "Every sample names the weight versions that produced it", Checked: sum.Samples, Broken: sum.Bare},
+		{Text: "No sample is older than the bound", Checked: sum.Samples, Broken: sum.Stale},
+		{Text: "Every sample is delivered once", Checked: sum.Samples + sum.Doubled, Broken: sum.Doubled},
+		{Text: "Every sample is the whole answer to its own prompt", Checked: sum.Samples, Broken: sum.Damaged},
+		{Text: "Every step is whole", Checked: sum.Steps, Broken: sum.Missing},
+	}
+}
+
+// onlyOnce counts the calls that must not be repeated and were carried out
+// more than once.
+func (r *running) onlyOnce() Promise {
+	p := Promise{Text: "A request that must not be repeated runs at most once"}
+	for _, one := range r.deployment.Loads {
+		if !one.Keyed {
+			continue
+		}
+		for _, service := range r.site.Supplier.Services() {
+			for _, name := range service.Doubled() {
+				if strings.HasPrefix(name, one.Name) {
+					p.Broken++
+				}
+			}
+		}
+		for _, line := range r.load.Lines {
+			if line.Workspace == one.Name {
+				p.Checked += line.Sent
+			}
+		}
+	}
+	return p
+}
+
+// noKeys searches every byte that backend servers received for callers' keys.
+func (r *running) noKeys() Promise {
+	p := Promise{Text: "No backend server sees a caller's key"}
+	secret := []byte("demo-" + r.site.Document.Site)
+	check := func(received []byte) {
+		p.Checked++
+		if bytes.Contains(received, secret) {
+			p.Broken++
+		}
+	}
+	for _, one := range r.site.Supplier.Engines() {
+		check(one.Received())
+	}
+	for _, one := range r.site.Supplier.Services() {
+		check(one.Received())
+	}
+	return p
+}
+
+func (r *running) withdrawalPromise() Promise {
+	p := Promise{Text: "A withdrawn key stops working within 5 s", Checked: 1}
+	if !r.withdrew.done || r.withdrew.stopped > withdrawnWithin {
+		p.Broken = 1
+	}
+	return p
+}
+
+// Write writes the report as text.
+func (r Report) Write(w io.Writer) error {
+	out := &bytes.Buffer{}
+	_, _ = fmt.Fprintf(out, "\n%s: %d hosts, weights %d\n\n", r.Deployment, r.Hosts, r.Weights)
+	r.writeTrainers(out)
+	r.writeLoad(out)
+	_, _ = fmt.Fprintf(out, "key withdrawn everywhere after %s\n\n", r.Withdrawn.Round(time.Millisecond))
+	_, _ = fmt.Fprintf(out, "%-62s %9s %7s\n", "promise", "checked", "broken")
+	for _, p := range r.Promises {
+		_, _ = fmt.Fprintf(out, "%-62s %9d %7d\n", p.Text, p.Checked, p.Broken)
+	}
+	_, err := w.Write(out.Bytes())
+	return err
+}
+
+func (r Report) writeTrainers(out io.Writer) {
+	for i, one := range r.Trainers {
+		_, _ = fmt.Fprintf(out, "trainer %d: %d steps, %d whole, %d samples, idle %s, training %s, ages %s\n",
+			i+1, one.Steps, one.Whole, one.Samples, one.Idle.Round(time.Millisecond), one.Busy.Round(time.Millisecond), ages(one.Ages))
+	}
+}
+
+func ages(counts map[int]int) string {
+	var known []int
+	for age := range counts {
+		known = append(known, age)
+	}
+	slices.Sort(known)
+	parts := make([]string, len(known))
+	for i, age := range known {
+		parts[i] = fmt.Sprintf("%d:%d", age, counts[age])
+	}
+	return strings.Join(parts, " ")
+}
+
+func (r Report) writeLoad(out io.Writer) {
+	_, _ = fmt.Fprintf(out, "\n%-16s %7s %7s %7s %10s %10s  %s\n", "workspace", "sent", "good", "wrong", "p50", "p99", "errors")
+	for _, line := range r.Load.Lines {
+		_, _ = fmt.Fprintf(out, "%-16s %7d %7d %7d %10s %10s  %v\n", line.Workspace, line.Sent, line.Good, line.Wrong,
+			line.P50.Round(10*time.Microsecond), line.P99.Round(10*time.Microsecond), line.Errors)
+	}
+	_, _ = fmt.Fprintf(out, "worst served: %s\n", r.Load.Worst)
+}
--- /dev/null
+++ b/internal/host/demo/site.go
@@ -0,0 +1,294 @@
+// Package demo runs a whole site in one process: the stand-ins of every
+// outside system, several hosts on loopback, and the workloads of the two
+// example deployments, whose promises it checks.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/fleet/identity"
+	"github.com/hyssopwall/hyssopwall/internal/host/server"
+	"github.com/hyssopwall/hyssopwall/internal/platform/hostlist"
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/platform/supply"
+	"github.com/hyssopwall/hyssopwall/internal/site/document"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+	"github.com/hyssopwall/hyssopwall/internal/site/form"
+	"github.com/hyssopwall/hyssopwall/internal/site/settings"
+	"github.com/hyssopwall/hyssopwall/internal/standin/engine"
+	"github.com/hyssopwall/hyssopwall/internal/standin/fault"
+	"github.com/hyssopwall/hyssopwall/internal/standin/platform"
+	"github.com/hyssopwall/hyssopwall/internal/standin/scorer"
+	"github.com/hyssopwall/hyssopwall/internal/standin/service"
+	"github.com/hyssopwall/hyssopwall/internal/standin/supplier"
+)
+
+// certificateLife is how long the certificates of a demo hold.
+const certificateLife = 24 * time.Hour
+
+// Options describe a site.
+type Options struct {
+	Document     []byte
+	HostsPerZone int
+	Servers      map[string]int // backend servers of each pool, over all zones
+	Engine       engine.Settings
+	Scorers      map[string]bool // pools that are scoring services
+	Service      service.Settings
+	Platform     platform.Settings
+	Log          event.Log
+}
+
+// Site is a running site.
+type Site struct {
+	Platform *platform.Platform
+	Supplier *supplier.Supplier
+	Store    object.Store
+	Document document.Document
+
+	options   Options
+	authority identity.Pair
+
+	mu    sync.Mutex
+	hosts map[string]*server.Server
+	zones map[string]string
+}
+
+// Start starts a site and waits until every host is ready.
+func Start(ctx context.Context, options Options) (*Site, error) {
+	doc, err := document.Decode("document", options.Document)
+	if err != nil {
+		return nil, err
+	}
+	authority, err := identity.Create(time.Now(), certificateLife)
+	if err != nil {
+		return nil, err
+	}
+	s := &Site{
+		options: options, Document: doc, authority: authority,
+		hosts: make(map[string]*server.Server), zones: make(map[string]string),
+	}
+	if err := s.start(ctx); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context) error {
+	if err := s.startPlatform(ctx); err != nil {
+		return err
+	}
+	for _, zone := range s.Document.Zones {
+		for i := range s.options.HostsPerZone {
+			if err := s.StartHost(fmt.Sprintf("%s-%d", zone.Name, i+1), zone.Name); err != nil {
+				return err
+			}
+		}
+	}
+	return s.WaitReady(ctx)
+}
+
+func (s *Site) startPlatform(ctx context.Context) error {
+	s.Supplier = &supplier.Supplier{Pools: s.pools()}
+	set := s.options.Platform
+	set.Starter = s.Supplier
+	s.Platform = platform.New(set)
+	if err := s.Platform.Start("127.0.0.1:0"); err != nil {
+		return err
+	}
+	// The engines' settings name the weight store, which has its address now.
+	for _, pool := range s.Supplier.Pools {
+		if pool.Engine != nil {
+			pool.Engine.Weights = s.Platform.URL()
+		}
+	}
+	s.Store = &object.Client{Base: s.Platform.URL()}
+	for _, pool := range s.Document.Pools {
+		if pool.Kind == document.Engine {
+			s.Platform.Publish(pool.Name)
+		}
+	}
+	if _, err := server.Accept(ctx, s.Store, s.options.Document); err != nil {
+		return err
+	}
+	return s.order(ctx)
+}
+
+func (s *Site) pools() map[string]supplier.Pool {
+	pools := make(map[string]supplier.Pool)
+	for _, pool := range s.Document.Pools {
+		switch {
+		case pool.Kind == document.Engine:
+			set := s.options.Engine
+			set.Model, set.Version = pool.Name, 1
+			set.Faults = &fault.Script{}
+			pools[pool.Name] = supplier.Pool{Engine: &set}
+		case s.options.Scorers[pool.Name]:
+			set := service.Settings{Answer: scorer.Answer, Faults: &fault.Script{}}
+			pools[pool.Name] = supplier.Pool{Service: &set}
+		default:
+			set := s.options.Service
+			set.Faults = &fault.Script{}
+			pools[pool.Name] = supplier.Pool{Service: &set}
+		}
+	}
+	return pools
+}
+
+// order asks the platform for the first backend servers, spread over the
+// zones.
+func (s *Site) order(ctx context.Context) error {
+	client := &supply.Client{Base: s.Platform.URL()}
+	zones := s.Document.Zones
+	for _, pool := range s.Document.Pools {
+		count := s.options.Servers[pool.Name]
+		for i, zone := range zones {
+			share := (count + len(zones) - 1 - i) / len(zones)
+			order := supply.Order{ID: pool.Name + "-" + zone.Name, Zone: zone.Name, Pool: pool.Name, Class: supply.OnDemand, Count: share, Epoch: 1}
+			if share == 0 {
+				continue
+			}
+			if err := client.Place(ctx, order); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// StartHost starts a host of a zone, or starts it again after a stop.
+func (s *Site) StartHost(name, zone string) error {
+	host := identity.Host{Name: name, Zone: zone}
+	pair, err := identity.Issue(s.authority, host, time.Now(), certificateLife)
+	if err != nil {
+		return err
+	}
+	material, err := identity.Assemble(pair, s.authority.Certificate)
+	if err != nil {
+		return err
+	}
+	started, err := server.Start(server.Config{
+		Settings: settings.Settings{
+			Host: name, Zone: zone, Listen: "127.0.0.1:0", Link: "127.0.0.1:0", Platform: s.Platform.URL(),
+			Drain: form.Duration(5 * time.Second),
+		},
+		Identity: identity.Fixed(material, time.Now, s.options.Log),
+		Log:      s.options.Log,
+	})
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.hosts[name], s.zones[name] = started, zone
+	s.mu.Unlock()
+	s.Platform.SetHost(hostlist.Host{Name: name, Zone: zone, Address: started.LinkAddress()})
+	return nil
+}
+
+// Host returns a running host, or nil.
+func (s *Site) Host(name string) *server.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hosts[name]
+}
+
+// Hosts returns the running hosts by name.
+func (s *Site) Hosts() map[string]*server.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make(map[string]*server.Server, len(s.hosts))
+	for name, host := range s.hosts {
+		all[name] = host
+	}
+	return all
+}
+
+// URLs returns the addresses of all hosts for callers.
+func (s *Site) URLs() []string {
+	var urls []string
+	for _, host := range s.Hosts() {
+		urls = append(urls, "http://"+host.Address())
+	}
+	return urls
+}
+
+// KillHost ends a host as a crash would.
+func (s *Site) KillHost(name string) {
+	if host := s.take(name); host != nil {
+		host.Kill()
+	}
+}
+
+// StopHost stops a host gracefully.
+func (s *Site) StopHost(ctx context.Context, name string) error {
+	host := s.take(name)
+	if host == nil {
+		return nil
+	}
+	return host.Shutdown(ctx)
+}
+
+func (s *Site) take(name string) *server.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	host := s.hosts[name]
+	delete(s.hosts, name)
+	return host
+}
+
+// readyEvery is the time between two looks at whether hosts are ready.
+const readyEvery = 20 * time.Millisecond
+
+// WaitReady waits until every host is ready and sees a backend server of each
+// pool.
+func (s *Site) WaitReady(ctx context.Context) error {
+	ticker := time.NewTicker(readyEvery)
+	defer ticker.Stop()
+	for {
+		if s.ready() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for hosts: %w", ctx.Err())
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Site) ready() bool {
+	for _, host := range s.Hosts() {
+		if !host.Serves(s.served()) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Site) served() []string {
+	var pools []string
+	for _, pool := range s.Document.Pools {
+		if s.options.Servers[pool.Name] > 0 {
+			pools = append(pools, pool.Name)
+		}
+	}
+	return pools
+}
+
+// Close stops everything at once.
+func (s *Site) Close() {
+	var group sync.WaitGroup
+	for name := range s.Hosts() {
+		group.Go(func() { s.KillHost(name) })
+	}
+	group.Wait()
+	if s.Platform != nil {
+		s.Platform.Close()
+	}
+	if s.Supplier != nil {
+		s.Supplier.Close()
+	}
+}
--- /dev/null
+++ b/internal/host/dispatch/generate.go
@@ -0,0 +1,137 @@
+package dispatch
+
+import (
+	"context"
+	"crypto/sha256"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
+	"github.com/hyssopwall/hyssopwall/internal/backend/service"
+	"github.com/hyssopwall/hyssopwall/internal/host/api"
+	"github.com/hyssopwall/hyssopwall/internal/host/forward"
+)
+
+func nanoseconds(n int64) time.Duration { return time.Duration(n) }
+
+// Generate runs a generation and passes its events on as they come. The last
+// event waits until the usage is counted. A broken stream is resumed on
+// another engine, and the caller sees no gap and no repeat.
+func (d *Dispatcher) Generate(ctx context.Context, call api.Call, request engine.Request, sink func(engine.Event) error) (err error) {
+	began := d.config.Now().UnixNano()
+	defer func() { d.observe(call, began, d.config.Now().UnixNano(), err) }()
+	admitted, err := d.admit(ctx, call, request.MaxTokens)
+	if err != nil {
+		return err
+	}
+	used := 0
+	defer func() { admitted.leave(used) }()
+	r, err := d.prepare(call, forward.Task{Engine: &request}, []byte(request.Prompt))
+	if err != nil {
+		return err
+	}
+	var last *engine.Event
+	r.direct = func(item forward.Item) error {
+		if item.Event == nil {
+			return nil
+		}
+		used++
+		if item.Event.Done {
+			used = item.Event.Tokens
+			last = item.Event
+			return nil
+		}
+		r.resume.add(*item.Event)
+		return sink(*item.Event)
+	}
+	if err := r.do(admitted.ctx); err != nil {
+		return err
+	}
+	d.count(ctx, Usage{Workspace: call.Caller.Workspace, Requests: 1, Tokens: uint64(used)})
+	if last == nil {
+		return &api.Error{Code: api.Failed, Message: "answer without an end", Ran: api.RanYes}
+	}
+	return sink(*last)
+}
+
+// count makes usage safe before the last byte of an answer leaves. When no
+// other host can keep a copy, the answer leaves all the same: the counter of
+// this host has it.
+func (d *Dispatcher) count(ctx context.Context, usage Usage) {
+	if d.config.Meter == nil || usage.Workspace == "" {
+		return
+	}
+	_ = d.config.Meter.Count(context.WithoutCancel(ctx), usage)
+}
+
+// Invoke calls a plain service. A call that is not idempotent and has an
+// idempotency key is claimed first, so that it is sent at most once whichever
+// hosts its repeats reach.
+func (d *Dispatcher) Invoke(ctx context.Context, call api.Call, request service.Request) (answer service.Answer, err error) {
+	began := d.config.Now().UnixNano()
+	defer func() { d.observe(call, began, d.config.Now().UnixNano(), err) }()
+	admitted, err := d.admit(ctx, call, 1)
+	if err != nil {
+		return service.Answer{}, err
+	}
+	defer admitted.leave(1)
+	claimed := !call.Route.Idempotent && call.Identity != "" && d.config.Claims != nil
+	if claimed {
+		first, err := d.config.Claims.Begin(admitted.ctx, call.Caller.Workspace, call.Identity, digestOf(request))
+		if err != nil {
+			return service.Answer{}, err
+		}
+		if first != nil {
+			first.ID = call.ID
+			return *first, nil
+		}
+	}
+	answer, err = d.invoke(admitted.ctx, call, request)
+	if claimed {
+		d.settle(ctx, call, answer, err)
+	}
+	if err == nil {
+		d.count(ctx, Usage{Workspace: call.Caller.Workspace, Requests: 1})
+	}
+	return answer, err
+}
+
+// settle ends a claim: with the answer, or by giving it back when the request
+// certainly did not run. An unknown outcome stays claimed for good.
+func (d *Dispatcher) settle(ctx context.Context, call api.Call, answer service.Answer, err error) {
+	ctx = context.WithoutCancel(ctx)
+	if err == nil {
+		_ = d.config.Claims.Finish(ctx, call.Caller.Workspace, call.Identity, answer)
+		return
+	}
+	if api.AsError(err).Ran == api.RanNo {
+		_ = d.config.Claims.Release(ctx, call.Caller.Workspace, call.Identity)
+	}
+}
+
+func (d *Dispatcher) invoke(ctx context.Context, call api.Call, request service.Request) (service.Answer, error) {
+	r, err := d.prepare(call, forward.Task{Service: &request}, append([]byte(request.Method+" "+request.Path+"\n"), request.Body...))
+	if err != nil {
+		return service.Answer{}, err
+	}
+	r.hedge = call.Route.Idempotent
+	began := d.config.Now()
+	if err := r.do(ctx); err != nil {
+		return service.Answer{}, err
+	}
+	if len(r.answers) != 1 || r.answers[0].Answer == nil {
+		return service.Answer{}, &api.Error{Code: api.Failed, Message: "answer is not whole", Ran: api.RanYes}
+	}
+	d.route(call.Route.Name).delay.Add(d.config.Now().Sub(began))
+	answer := *r.answers[0].Answer
+	answer.ID = call.ID
+	return answer, nil
+}
+
+// digestOf identifies what a claimed request asks, so that a key used again
+// for something else is found out.
+func digestOf(request service.Request) []byte {
+	h := sha256.New()
+	_, _ = h.Write([]byte(request.Method + "\n" + request.Path + "\n")) // hash.Hash never fails
+	_, _ = h.Write(request.Body)
+	return h.Sum(nil)
+}
--- /dev/null
+++ b/internal/host/dispatch/partial.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
+	"github.com/hyssopwall/hyssopwall/internal/host/forward"
+)
+
+// partial is the text of a generation that has been passed on already. Another
+// attempt resumes from it, so that a caller's stream goes on where it broke.
+type partial struct {
+	text     string
+	tokens   int
+	versions []uint64
+}
+
+func (p *partial) add(e engine.Event) {
+	if e.Done {
+		return
+	}
+	p.text += e.Text
+	p.tokens++
+	for _, version := range e.Versions {
+		if !slices.Contains(p.versions, version) {
+			p.versions = append(p.versions, version)
+		}
+	}
+}
+
+// taskOf returns the task of one leg: its own identity and remaining time, and
+// what was generated before.
+func (r *run) taskOf(ctx context.Context, leg int) forward.Task {
+	task := r.task
+	task.ID = legID(r.task.ID, leg)
+	if deadline, ok := ctx.Deadline(); ok {
+		task.Left = max(1, deadline.Sub(r.d.config.Now()))
+	}
+	if task.Service != nil {
+		request := *task.Service
+		request.ID = task.ID
+		task.Service = &request
+	}
+	if task.Engine != nil {
+		request := *task.Engine
+		request.ID = task.ID
+		if r.resume.text != "" {
+			request.Resume = &engine.Resume{Text: r.resume.text, Tokens: r.resume.tokens, Versions: r.resume.versions}
+		}
+		task.Engine = &request
+	}
+	return task
+}
+
+// legID returns the identity of a leg: a backend server sees a new one for
+// each, so that a late answer to one is never taken for another's.
+func legID(id string, leg int) string {
+	if leg <= 1 {
+		return id
+	}
+	return id + "." + string(rune('0'+leg))
+}
--- /dev/null
+++ b/internal/host/home/run.go
@@ -0,0 +1,230 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
+	"github.com/hyssopwall/hyssopwall/internal/backend/service"
+	"github.com/hyssopwall/hyssopwall/internal/entry/queue"
+	"github.com/hyssopwall/hyssopwall/internal/entry/route"
+	"github.com/hyssopwall/hyssopwall/internal/host/forward"
+)
+
+// The sizes by which a prompt is measured: the bytes of a cache block and of
+// a token.
+const (
+	blockBytes = 64
+	tokenBytes = 4
+)
+
+// crashProbe is the longest wait for an engine's report after a broken answer.
+const crashProbe = time.Second
+
+// Run queues a task, runs it on a backend server and hands the answer to sink.
+// It returns nil after a whole answer, and a *forward.Error otherwise.
+func (h *Home) Run(ctx context.Context, task forward.Task, sink func(forward.Item) error) error {
+	h.running.Add(1)
+	defer h.running.Add(-1)
+	switch {
+	case h.draining.Load():
+		return refuse(forward.CodeDraining, "the host stops", 0)
+	case !h.serves(task.Pool):
+		return refuse(forward.CodeNone, "no backend server of "+task.Pool+" here", time.Second)
+	}
+	ctx, stop := context.WithTimeout(ctx, task.Left)
+	defer stop()
+	j := &job{task: task, start: make(chan started, 1), shed: make(chan queue.RefusedError, 1)}
+	if task.Engine != nil {
+		j.prefixes = route.PrefixHashes(task.Engine.Prompt, blockBytes)
+	}
+	place, err := h.wait(ctx, j)
+	if err != nil {
+		return err
+	}
+	return h.runOn(ctx, j, place, sink)
+}
+
+func refuse(code, message string, after time.Duration) *forward.Error {
+	return &forward.Error{Code: code, Message: message, Ran: "no", After: after}
+}
+
+// wait queues a job until a backend server is reserved for it.
+func (h *Home) wait(ctx context.Context, j *job) (started, error) {
+	q := h.queueOf(j.task.Pool)
+	now := h.config.Now()
+	shed, err := q.Push(now, queue.Item{
+		ID: j.task.ID, Workspace: j.task.Workspace, Priority: j.task.Priority,
+		Tokens: tokensOf(j.task), Deadline: now.Add(j.task.Left), Value: j,
+	})
+	notify(shed)
+	var refused *queue.RefusedError
+	if errors.As(err, &refused) {
+		return started{}, busy(*refused)
+	}
+	h.pump(j.task.Pool, q)
+	select {
+	case place := <-j.start:
+		return place, nil
+	case refusal := <-j.shed:
+		return started{}, busy(refusal)
+	case <-ctx.Done():
+		h.abandon(q, j)
+		return started{}, refuse(forward.CodeCanceled, "gave up while waiting", 0)
+	}
+}
+
+// abandon takes a job back whose caller has gone. If it was taken from the
+// queue at the same moment, its reservation is released.
+func (h *Home) abandon(q *queue.Queue, j *job) {
+	if q.Remove(j.task.Workspace, j.task.ID) {
+		return
+	}
+	select {
+	case place := <-j.start:
+		h.engines.Release(h.config.Now(), place.choice.Server, j.task.ID, route.Outcome{})
+		q.Settle(place.item, queue.Result{})
+		h.pump(j.task.Pool, q)
+	case <-j.shed:
+	}
+}
+
+func busy(refusal queue.RefusedError) *forward.Error {
+	code := forward.CodeBusy
+	if refusal.Reason == queue.ReasonClosed {
+		code = forward.CodeDraining
+	}
+	return refuse(code, refusal.Reason, refusal.After)
+}
+
+func notify(shed []queue.Shed) {
+	for _, s := range shed {
+		if j, ok := s.Value.(*job); ok {
+			j.shed <- s.Refusal
+		}
+	}
+}
+
+// pump starts waiting jobs for which a backend server is open.
+func (h *Home) pump(pool string, q *queue.Queue) {
+	for {
+		var choice route.Choice
+		item, ok, shed := q.Pop(h.config.Now(), func(item queue.Item) bool {
+			j, isJob := item.Value.(*job)
+			if !isJob {
+				return false
+			}
+			var open bool
+			choice, open = h.engines.Reserve(h.config.Now(), needOf(pool, j))
+			return open
+		})
+		notify(shed)
+		if !ok {
+			return
+		}
+		if j, isJob := item.Value.(*job); isJob {
+			j.start <- started{choice: choice, item: item}
+		}
+	}
+}
+
+func needOf(pool string, j *job) route.Need {
+	need := route.Need{
+		ID: j.task.ID, Pool: pool, Prefixes: j.prefixes, Tokens: tokensOf(j.task),
+		MinVersion: j.task.Least, Durable: !j.task.Idempotent, Solo: j.task.Solo, Avoid: j.task.Avoid,
+	}
+	if j.task.Engine != nil {
+		need.Prompt = len(j.task.Engine.Prompt) / tokenBytes
+	}
+	return need
+}
+
+// tokensOf is the expected cost of a task in tokens.
+func tokensOf(task forward.Task) int {
+	if task.Engine != nil {
+		return max(1, task.Engine.MaxTokens)
+	}
+	return 1
+}
+
+// runOn runs a job on its reserved backend server.
+func (h *Home) runOn(ctx context.Context, j *job, place started, sink func(forward.Item) error) error {
+	began, choice := h.config.Now(), place.choice
+	tokens, err := h.attempt(ctx, j, choice, sink)
+	now := h.config.Now()
+	outcome := route.Outcome{Tokens: tokens, Elapsed: now.Sub(began)}
+	failure := h.explain(ctx, j, choice, err)
+	if failure != nil {
+		outcome.Refused = failure.Code == forward.CodeRefused
+		outcome.Failed = failure.Code == forward.CodeBroken
+		outcome.After = failure.After
+	}
+	h.engines.Release(now, choice.Server, j.task.ID, outcome)
+	q := h.queueOf(j.task.Pool)
+	q.Settle(place.item, queue.Result{Used: tokens, Took: now.Sub(began), Whole: failure == nil})
+	h.pump(j.task.Pool, q)
+	if failure == nil {
+		return nil
+	}
+	return failure
+}
+
+func (h *Home) attempt(ctx context.Context, j *job, choice route.Choice, sink func(forward.Item) error) (int, error) {
+	b, ok := h.backend(choice.Server)
+	switch {
+	case !ok:
+		return 0, &engine.RefusedError{Code: "leaving"}
+	case j.task.Engine != nil && b.engine != nil:
+		return runEngine(ctx, b.engine, *j.task.Engine, sink)
+	case j.task.Service != nil && b.service != nil:
+		return runService(ctx, b.service, *j.task.Service, sink)
+	default:
+		return 0, &engine.RefusedError{Code: "kind"}
+	}
+}
+
+// sinkError is a failure of the receiver, not of the backend server.
+type sinkError struct {
+	err error
+}
+
+func (e *sinkError) Error() string { return "receiver gone: " + e.err.Error() }
+
+func runEngine(ctx context.Context, e engine.Engine, request engine.Request, sink func(forward.Item) error) (int, error) {
+	stream, err := e.Run(ctx, request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = stream.Close() }()
+	tokens := 0
+	for {
+		event, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return tokens, nil
+		}
+		if err != nil {
+			return tokens, err
+		}
+		if event.Done {
+			tokens = event.Tokens
+		} else {
+			tokens++
+		}
+		if err := sink(forward.Item{Event: &event}); err != nil {
+			return tokens, &sinkError{err: err}
+		}
+	}
+}
+
+func runService(ctx context.Context, c service.Caller, request service.Request, sink func(forward.Item) error) (int, error) {
+	answer, err := c.Call(ctx, request)
+	if err != nil {
+		return 0, err
+	}
+	if err := sink(forward.Item{Answer: &answer}); err != nil {
+		return 1, &sinkError{err: err}
+	}
+	return 1, nil
+}
--- /dev/null
+++ b/internal/host/server/server.go
@@ -0,0 +1,228 @@
+// Package server assembles one host: the interface for callers, the request
+// path, the home of its backend servers, steps, and the duties by which hosts
+// act together.
+package server
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
+	"github.com/hyssopwall/hyssopwall/internal/entry/poison"
+	"github.com/hyssopwall/hyssopwall/internal/entry/quota"
+	"github.com/hyssopwall/hyssopwall/internal/entry/route"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/identity"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/lease"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/link"
+	"github.com/hyssopwall/hyssopwall/internal/host/api"
+	"github.com/hyssopwall/hyssopwall/internal/host/dispatch"
+	"github.com/hyssopwall/hyssopwall/internal/host/forward"
+	"github.com/hyssopwall/hyssopwall/internal/host/home"
+	"github.com/hyssopwall/hyssopwall/internal/host/steps"
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/platform/supply"
+	"github.com/hyssopwall/hyssopwall/internal/platform/weightstore"
+	"github.com/hyssopwall/hyssopwall/internal/rollout/step"
+	rollout "github.com/hyssopwall/hyssopwall/internal/rollout/weights"
+	"github.com/hyssopwall/hyssopwall/internal/site/document"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+	"github.com/hyssopwall/hyssopwall/internal/site/settings"
+)
+
+// headerTimeout bounds the wait for the headers of a request.
+const headerTimeout = 10 * time.Second
+
+// Config is what a host is started with.
+type Config struct {
+	Settings settings.Settings
+	Identity *identity.Source
+	Lease    lease.Config // zero for the defaults
+	Log      event.Log
+}
+
+// Server is a running host. Use Start.
+type Server struct {
+	config   Config
+	store    object.Store
+	supply   supply.Supply
+	endpoint *link.Endpoint
+	listener net.Listener
+	web      *http.Server
+
+	gate     gate.Gate
+	quota    quota.Book
+	poison   poison.Ledger
+	picker   route.Picker
+	home     *home.Home
+	dispatch *dispatch.Dispatcher
+	steps    *steps.Steps
+	weights  *releases
+	peers    *peers
+	leases   *lease.Holder
+	rolls    *rolls
+	index    atomic.Pointer[document.Index]
+	docMu    sync.Mutex
+	doc      told
+	draining atomic.Bool
+	vars     expvar.Map
+
+	incarnation uint64 // grows with each start of the process
+	ctx         context.Context
+	cancel      context.CancelFunc
+	duties      sync.WaitGroup
+	done        chan struct{}
+}
+
+// Start starts a host. It serves callers at once and is ready when it knows an
+// accepted document.
+func Start(config Config) (*Server, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{config: config, ctx: ctx, cancel: cancel, done: make(chan struct{}), incarnation: uint64(time.Now().UnixNano())}
+	base := config.Settings.Platform
+	s.store = &object.Client{Base: base}
+	s.supply = &supply.Client{Base: base}
+	var err error
+	s.endpoint, err = link.Listen(link.Config{Address: config.Settings.Link, Identity: config.Identity, Log: config.Log})
+	if err != nil {
+		return nil, fmt.Errorf("listen for hosts: %w", err)
+	}
+	s.listener, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", config.Settings.Listen)
+	if err != nil {
+		_ = s.endpoint.Close()
+		return nil, fmt.Errorf("listen for callers: %w", err)
+	}
+	s.assemble(base)
+	s.run()
+	return s, nil
+}
+
+// assemble builds the parts and joins them.
+func (s *Server) assemble(base string) {
+	set := s.config.Settings
+	s.weights = newReleases(&weightstore.Client{Base: base})
+	s.home = home.New(home.Config{Host: set.Host, Zone: set.Zone, Dialer: dialer{}, Now: time.Now, Log: s.config.Log})
+	s.peers = newPeers(s)
+	s.dispatch = dispatch.New(dispatch.Config{
+		Host: set.Host, Zone: set.Zone, Gate: &s.gate, Quota: &s.quota, Picker: &s.picker, Poison: &s.poison,
+		Local: s.home, Remote: forward.Remote{Endpoint: s.endpoint}, Fleet: s.peers,
+		Spread: s.peers.spreadMarks, Now: time.Now, Log: s.config.Log,
+	})
+	s.leases = s.newHolder()
+	s.rolls = &rolls{server: s, duties: make(map[string]*rollout.Duty)}
+	s.serveEngines()
+	forward.Serve(s.endpoint, s.dispatch)
+	s.steps = steps.New(steps.Config{
+		Host: set.Host, Store: s.store, Generator: s.generator, Scorer: s.scorer, Weights: s.weights,
+		Gate: &s.gate, Fleet: s.peers, Endpoint: s.endpoint, Log: s.config.Log,
+	})
+	handler := (&api.Server{
+		Gate: &s.gate, Index: s.index.Load, CutOff: s.peers.cutOff, Now: time.Now,
+		Dispatcher: s.dispatch, Steps: s.steps, Ready: s.ready, Vars: &s.vars,
+	}).Handler()
+	s.web = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+}
+
+// run starts the duties.
+func (s *Server) run() {
+	ctx := s.ctx
+	s.duties.Go(func() { s.watchDocument(ctx) })
+	s.duties.Go(func() { s.watchSupply(ctx) })
+	s.duties.Go(func() { s.peers.run(ctx) })
+	s.duties.Go(func() { s.weights.run(ctx) })
+	s.duties.Go(func() { s.leases.Run(ctx) })
+	s.duties.Go(func() {
+		if err := s.web.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			s.cancel()
+		}
+	})
+}
+
+// Address returns the IP:port for callers.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// LinkAddress returns the IP:port for other hosts.
+func (s *Server) LinkAddress() string { return s.endpoint.Address() }
+
+// Done is closed when the host has stopped.
+func (s *Server) Done() <-chan struct{} { return s.done }
+
+// Shutdown stops the host gracefully: it turns unready, refuses new work, lets
+// running requests end while ctx lasts, and hands its steps over.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.draining.Store(true)
+	s.config.Log.Emit(event.HostDraining, "host", s.config.Settings.Host)
+	s.peers.leave(ctx)
+	_ = s.leases.Release(ctx) // otherwise the next holder waits the term out
+	err := s.web.Shutdown(ctx)
+	s.waitIdle(ctx)
+	s.stop()
+	return err
+}
+
+// waitIdle waits until no request of other hosts runs here.
+func (s *Server) waitIdle(ctx context.Context) {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for s.home.Running() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Kill ends the host at once, as a crash would.
+func (s *Server) Kill() {
+	_ = s.web.Close()
+	s.stop()
+}
+
+func (s *Server) stop() {
+	s.cancel()
+	s.rolls.close()
+	_ = s.endpoint.Close()
+	s.steps.Close()
+	s.home.Close()
+	s.duties.Wait()
+	s.config.Log.Emit(event.HostStopped, "host", s.config.Settings.Host)
+	close(s.done)
+}
+
+// notReadyError says why a host takes no new requests.
+type notReadyError struct {
+	reason string
+}
+
+func (e *notReadyError) Error() string { return e.reason }
+
+func (s *Server) ready() error {
+	switch {
+	case s.draining.Load():
+		return &notReadyError{reason: "the host stops"}
+	case s.index.Load() == nil:
+		return &notReadyError{reason: "no configuration yet"}
+	}
+	return nil
+}
+
+func (s *Server) generator(workspace string) step.Generator {
+	return &steps.Generator{Workspace: workspace, Places: s.dispatch, Weights: s.weights, Bound: func(model string) uint64 {
+		if index := s.index.Load(); index != nil {
+			pool, _ := index.Pool(model, document.Engine)
+			return pool.Bound
+		}
+		return 0
+	}}
+}
+
+func (s *Server) scorer(workspace, name string) step.Scorer {
+	return &steps.Scorer{Workspace: workspace, Service: name, Index: s.index.Load, Invoker: s.dispatch, Now: time.Now}
+}
--- /dev/null
+++ b/internal/host/steps/id.go
@@ -0,0 +1,34 @@
+package steps
+
+import (
+	"encoding/base64"
+
+	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
+	"github.com/hyssopwall/hyssopwall/internal/host/api"
+	"github.com/hyssopwall/hyssopwall/internal/rollout/step"
+)
+
+// encodeID returns the name of a step as callers see it. It holds the whole
+// identity, so that any host can find the step's object.
+func encodeID(id step.ID) (string, error) {
+	raw, err := wire.Encode(id)
+	if err != nil {
+		return "", err
+	}
+	return base64.RawURLEncoding.EncodeToString(raw), nil
+}
+
+// decodeID returns the step of a caller's workspace. A name that belongs to
+// another workspace is not found, as if it did not exist.
+func decodeID(name, workspace string) (step.ID, error) {
+	missing := api.Refuse(api.NotFound, "no such step")
+	raw, err := base64.RawURLEncoding.DecodeString(name)
+	if err != nil {
+		return step.ID{}, missing
+	}
+	id, err := wire.Decode[step.ID](raw)
+	if err != nil || id.Workspace != workspace {
+		return step.ID{}, missing
+	}
+	return id, nil
+}
--- /dev/null
+++ b/internal/host/steps/score.go
@@ -0,0 +1,111 @@
+package steps
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/service"
+	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
+	"github.com/hyssopwall/hyssopwall/internal/host/api"
+	"github.com/hyssopwall/hyssopwall/internal/rollout/sample"
+	"github.com/hyssopwall/hyssopwall/internal/rollout/step"
+	"github.com/hyssopwall/hyssopwall/internal/site/document"
+)
+
+// reasonScore is the reason of a score that could not be read.
+const reasonScore = "score"
+
+// scorePath is the path of scoring services.
+const scorePath = "/score"
+
+// Invoker calls plain services on behalf of a workspace.
+type Invoker interface {
+	Invoke(ctx context.Context, call api.Call, request service.Request) (service.Answer, error)
+}
+
+// Scorer scores samples with a plain service.
+type Scorer struct {
+	Workspace string
+	Service   string
+	Index     func() *document.Index
+	Invoker   Invoker
+	Now       func() time.Time
+}
+
+// scoreRequest and scoreAnswer are the bodies of a scoring call.
+type scoreRequest struct {
+	Group int    `json:"group"`
+	Index int    `json:"index"`
+	Text  string `json:"text"`
+}
+
+type scoreAnswer struct {
+	Score float64 `json:"score"`
+}
+
+func (s *Scorer) route() (document.Pool, document.Route, bool) {
+	index := s.Index()
+	if index == nil {
+		return document.Pool{}, document.Route{}, false
+	}
+	pool, ok := index.Pool(s.Service, document.Service)
+	return pool, index.Route(pool, scorePath), ok
+}
+
+// Repeatable reports whether the route of the scoring service is idempotent.
+func (s *Scorer) Repeatable() bool {
+	_, route, ok := s.route()
+	return ok && route.Idempotent
+}
+
+// Score asks for the score of a sample. The attempt is the idempotency key, so
+// that a repeat by another owner of the step is not scored twice.
+func (s *Scorer) Score(ctx context.Context, id step.ID, one sample.Sample) (float64, error) {
+	pool, route, ok := s.route()
+	if !ok {
+		return 0, &service.RefusedError{Status: http.StatusServiceUnavailable, After: time.Second}
+	}
+	body, err := json.Marshal(scoreRequest{Group: one.Group, Index: one.Index, Text: one.Text})
+	if err != nil {
+		return 0, err
+	}
+	call := api.Call{
+		ID: "score." + one.Attempt, Caller: gate.Caller{Workspace: s.Workspace}, Pool: pool, Route: route,
+		Identity: one.Attempt, Deadline: s.Now().Add(time.Duration(route.Timeout)),
+	}
+	answer, err := s.Invoker.Invoke(ctx, call, service.Request{
+		ID: call.ID, Method: http.MethodPost, Path: scorePath, Body: body,
+		Header: map[string][]string{
+			"Content-Type":    {"application/json"},
+			"Idempotency-Key": {id.Key() + "/" + strconv.Itoa(one.Group) + "." + strconv.Itoa(one.Index) + "/" + one.Attempt},
+		},
+	})
+	if err != nil {
+		return 0, scoreError(err)
+	}
+	return decodeScore(answer)
+}
+
+// scoreError says whether the scoring service may have worked.
+func scoreError(err error) error {
+	var failure *api.Error
+	if errors.As(err, &failure) && failure.Ran == api.RanNo {
+		return &service.RefusedError{Status: http.StatusServiceUnavailable, After: max(failure.After, time.Second)}
+	}
+	return &service.BrokenError{Reason: reasonScore, Sent: true, Err: err}
+}
+
+func decodeScore(answer service.Answer) (float64, error) {
+	var out scoreAnswer
+	if answer.Status != http.StatusOK {
+		return 0, &service.BrokenError{ID: answer.ID, Reason: reasonScore, Sent: true}
+	}
+	if err := json.Unmarshal(answer.Body, &out); err != nil {
+		return 0, &service.BrokenError{ID: answer.ID, Reason: reasonScore, Sent: true, Err: err}
+	}
+	return out.Score, nil
+}
--- a/internal/site/event/event.go
+++ b/internal/site/event/event.go
@@ -17,6 +17,9 @@
 // Number identifies an event for ever: a number is never given again.
 type Number int
 
+// String returns the number as it stands in logs, such as HW1001.
+func (n Number) String() string { return fmt.Sprintf("HW%04d", int(n)) }
+
 // Severity says how soon an operator has to look.
 type Severity string
 
@@ -62,7 +65,7 @@
 	if logger.GetSink() == nil {
 		logger = klog.Background()
 	}
-	values := append([]any{"event", fmt.Sprintf("HW%04d", int(entry.Number)), "severity", string(entry.Severity)}, pairs...)
+	values := append([]any{"event", entry.Number.String(), "severity", string(entry.Severity)}, pairs...)
 	if entry.Severity == Error {
 		logger.Error(nil, entry.Text, values...)
 		return
--- /dev/null
+++ b/internal/site/form/duration.go
@@ -0,0 +1,38 @@
+package form
+
+import (
+	"fmt"
+	"time"
+)
+
+// Duration is a time.Duration that files write as a string such as "90s".
+type Duration time.Duration
+
+// UnmarshalText parses a non-negative duration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is not a duration", text)
+	}
+	if parsed < 0 {
+		return fmt.Errorf("%q is negative", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalText returns the form that UnmarshalText reads.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// Or returns the duration, or fallback when it is zero.
+func (d Duration) Or(fallback time.Duration) time.Duration {
+	if d == 0 {
+		return fallback
+	}
+	return time.Duration(d)
+}
+
+// Set replaces the duration.
+func (d *Duration) Set(value time.Duration) { *d = Duration(value) }
--- a/internal/standin/platform/releases.go
+++ b/internal/standin/platform/releases.go
@@ -26,6 +26,13 @@
 	return current.version
 }
 
+// Newest returns the newest version of a model, zero for none.
+func (p *Platform) Newest(model string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.releases[model].version
+}
+
 func (p *Platform) newest(r *http.Request) reply {
 	model := r.URL.Query().Get("model")
 	p.mu.Lock()
--- a/internal/standin/scorer/scorer.go
+++ b/internal/standin/scorer/scorer.go
@@ -39,10 +39,11 @@
 
 // New returns a scorer that doesn't listen yet.
 func New(settings Settings) *service.Service {
-	return service.New(service.Settings{Answer: answer, Slots: settings.Slots, Faults: settings.Faults})
+	return service.New(service.Settings{Answer: Answer, Slots: settings.Slots, Faults: settings.Faults})
 }
 
-func answer(_ string, body []byte) []byte {
+// Answer makes the answer to the body of a scoring call, for a service.
+func Answer(_ string, body []byte) []byte {
 	var sample Sample
 	if err := json.Unmarshal(body, &sample); err != nil {
 		return []byte(`{"error":"malformed"}`)
--- a/internal/standin/trainer/api.go
+++ b/internal/standin/trainer/api.go
@@ -29,15 +29,18 @@
 // to it.
 type Pull struct {
 	Cursor uint64 `json:"cursor"`
+	Newest uint64 `json:"newest,omitempty"`
 	Max    int    `json:"max"`
 	Wait   string `json:"wait"`
 }
 
-// Chunk is its answer.
+// Chunk is its answer. Its samples may be taken only by a trainer that holds
+// the cursor Previous.
 type Chunk struct {
-	Cursor  uint64   `json:"cursor"`
-	Samples []Sample `json:"samples"`
-	Done    bool     `json:"done"`
+	Previous uint64   `json:"previous"`
+	Cursor   uint64   `json:"cursor"`
+	Samples  []Sample `json:"samples"`
+	Done     bool     `json:"done"`
 }
 
 // Sample is one delivered sample.
--- a/internal/standin/trainer/trainer.go
+++ b/internal/standin/trainer/trainer.go
@@ -126,13 +126,16 @@
 	for {
 		newest := t.newest()
 		chunk, ok := try(ctx, t, func() (Chunk, error) {
-			pull := Pull{Cursor: cursor, Max: t.settings.Max, Wait: t.settings.Wait.String()}
+			pull := Pull{Cursor: cursor, Newest: newest, Max: t.settings.Max, Wait: t.settings.Wait.String()}
 			return caller.Exchange[Chunk](ctx, t.settings.Client, http.MethodPost, path, pull)
 		})
 		if !ok {
 			return false
 		}
 		t.report.Pulls++
+		if chunk.Previous != cursor {
+			continue // the samples follow another cursor than the one held
+		}
 		for _, sample := range chunk.Samples {
 			check.sample(sample, newest)
 		}
