Claim calls that must not run twice, and count usage before the last byte

Cause: a call that must not be repeated could run again when its caller repeated it to another host, and nothing was counted.

A host that had just started took shards as lost because it had heard of nobody yet; it now waits 10 s of silence of every member first (test: the keepers of a shard take no shard from members that a host has not heard of since it started).

--- a/internal/entry/claim/claim_test.go
+++ b/internal/entry/claim/claim_test.go
@@ -162,6 +162,9 @@
 			s.dead[m] = true
 		}
 		s.settle()
+		Expect(s.owner()).To(Equal(s.members[0]), "silence for a moment is no proof of loss")
+		s.now.Add(int64(claim.RestartAfter))
+		s.settle()
 		Expect(s.owner()).To(Equal(s.members[3]))
 		Expect(s.claim(3, "never seen", "2").Status).To(Equal(claim.Outcome))
 		s.settle()
@@ -178,6 +181,23 @@
 		Expect(s.claim(3, "never seen", "5").Status).To(Equal(claim.New))
 	})
 
+	It("take no shard from members that a host has not heard of since it started", func() {
+		s := newSite("a", "b", "c", "d")
+		s.settle()
+		for _, m := range s.members[:3] {
+			s.dead[m] = true // as the fourth host sees them after its start
+		}
+		s.keepers[s.members[3]].Tick(context.Background()).Wait()
+		for _, m := range s.members[:3] {
+			s.dead[m] = false
+		}
+		s.now.Add(int64(claim.RestartAfter))
+		s.settle()
+		v, _ := s.keepers[s.members[3]].Book.Find("s")
+		Expect(v.Lost).To(BeZero())
+		Expect(s.claim(3, "k", "1").Status).To(Equal(claim.New))
+	})
+
 	It("go on through an outage of the platform while no host fails", func() {
 		s := newSite("a", "b", "c")
 		s.settle()
--- a/internal/entry/claim/keeper.go
+++ b/internal/entry/claim/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +57,7 @@
 	shard *Shard
 	known view.View     // the view that since belongs to
 	since time.Duration // when it was first seen
+	heard time.Duration // when a member of it was last alive
 	busy  atomic.Bool   // a step is under way
 }
 
@@ -98,6 +100,13 @@
 	}
 }
 
+// SetNames replaces Names while the keeper runs, for a new configuration.
+func (k *Keeper) SetNames(names []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.Names = names
+}
+
 // Run looks after the views until the context ends, then closes the shards.
 func (k *Keeper) Run(ctx context.Context) {
 	ticker := time.NewTicker(PlanEvery)
@@ -132,7 +141,9 @@
 
 // mine returns the shards of this zone and those that this host is in.
 func (k *Keeper) mine() []string {
+	k.mu.Lock()
 	names := append([]string(nil), k.Names...)
+	k.mu.Unlock()
 	seen := map[string]bool{}
 	for _, name := range names {
 		seen[name] = true
@@ -178,12 +189,15 @@
 func (k *Keeper) scene(name string, from view.View, found *kept) Scene {
 	now := k.Clock.Now()
 	if found.known.Epoch != from.Epoch {
-		found.known, found.since = from, now
+		found.known, found.since, found.heard = from, now, now
+	}
+	if slices.ContainsFunc(from.Members(), k.Fleet.Alive) {
+		found.heard = now
 	}
 	return Scene{
 		Self: k.Self, Shard: name, Zone: k.Zone, View: from,
 		Alive: k.Fleet.Alive, Hosts: k.Fleet.Hosts(name), Copies: Copies,
-		Age: now - found.since, Certain: k.Fleet.Certain,
+		Age: now - found.since, Silent: now - found.heard, Certain: k.Fleet.Certain,
 	}
 }
 
--- a/internal/entry/claim/plan.go
+++ b/internal/entry/claim/plan.go
@@ -21,6 +21,12 @@
 	Recover
 )
 
+// RestartAfter is how long every member of a view must have been silent before
+// another host takes the shard without what they hold. A host that has just
+// started has not heard of the others yet; it must not take them for lost,
+// because a restart makes each key of the shard's past unknown.
+const RestartAfter = 10 * time.Second
+
 // Scene is what the plan of a shard depends on.
 type Scene struct {
 	Self  view.Member
@@ -34,6 +40,9 @@
 	Copies int
 	// Age is the time since this host knows the view, by its own clock.
 	Age time.Duration
+	// Silent is the time for which no member of the view has been alive, by
+	// this host's own clock.
+	Silent time.Duration
 	// Certain says that no member of a lost view can answer any more.
 	Certain func(view.Member) bool
 }
@@ -67,7 +76,7 @@
 }
 
 func (s Scene) restart() (Step, view.View) {
-	if !s.first() || slices.ContainsFunc(s.View.Members(), s.Alive) {
+	if !s.first() || s.Silent < RestartAfter {
 		return Rest, view.View{}
 	}
 	return Restart, view.Restart(s.View, s.Self)
--- a/internal/host/api/error.go
+++ b/internal/host/api/error.go
@@ -29,6 +29,7 @@
 	Conflict     Code = "conflict"
 	Running      Code = "running"
 	Unknown      Code = "outcome_unknown"
+	AlreadyRan   Code = "already_ran"
 	Failed       Code = "backend_failed"
 	Poison       Code = "poison"
 	Internal     Code = "internal"
@@ -98,7 +99,7 @@
 		return http.StatusServiceUnavailable
 	case Deadline, Unknown:
 		return http.StatusGatewayTimeout
-	case Conflict, Running:
+	case Conflict, Running, AlreadyRan:
 		return http.StatusConflict
 	case Failed:
 		return http.StatusBadGateway
--- /dev/null
+++ b/internal/host/claims/peers.go
@@ -0,0 +1,49 @@
+package claims
+
+import (
+	"context"
+
+	"github.com/hyssopwall/hyssopwall/internal/entry/claim"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/view"
+	"github.com/hyssopwall/hyssopwall/internal/host/reach"
+)
+
+// peers sends the messages of the protocol over the links.
+type peers struct {
+	caller reach.Caller
+}
+
+// Claim asks the owner of a shard.
+func (p peers) Claim(ctx context.Context, to view.Member, q claim.Request) (claim.Reply, error) {
+	return reach.Call[claim.Request, claim.Reply](ctx, p.caller, to, claimKind, q)
+}
+
+// Finish tells the owner of a shard how an attempt ended.
+func (p peers) Finish(ctx context.Context, to view.Member, q claim.Finish) error {
+	_, err := reach.Call[claim.Finish, reach.None](ctx, p.caller, to, finishKind, q)
+	return err
+}
+
+// Copy brings records to a copy.
+func (p peers) Copy(ctx context.Context, to view.Member, q claim.Copy) (claim.CopyReply, error) {
+	return reach.Call[claim.Copy, claim.CopyReply](ctx, p.caller, to, copyKind, q)
+}
+
+// fleet tells the keeper about the other hosts.
+type fleet struct {
+	caller reach.Caller
+	near   func(key string) []view.Member
+}
+
+// Alive reports whether a process is live.
+func (f fleet) Alive(member view.Member) bool { return f.caller.Alive(member) }
+
+// Hosts returns the hosts that may keep a shard, most wanted first.
+func (f fleet) Hosts(shard string) []view.Member { return f.near(shard) }
+
+// Certain reports whether a process has certainly ended: its host runs a later
+// one.
+func (f fleet) Certain(member view.Member) bool {
+	now, known := f.caller.Fleet.Member(member.Host)
+	return known && now.Incarnation > member.Incarnation
+}
--- a/internal/host/demo/site.go
+++ b/internal/host/demo/site.go
@@ -38,6 +38,7 @@
 	Scorers      map[string]bool // pools that are scoring services
 	Service      service.Settings
 	Platform     platform.Settings
+	Clock        func() time.Time // of usage windows; nil means time.Now
 	Log          event.Log
 }
 
@@ -176,6 +177,7 @@
 			Drain: form.Duration(5 * time.Second),
 		},
 		Identity: identity.Fixed(material, time.Now, s.options.Log),
+		Clock:    s.options.Clock,
 		Log:      s.options.Log,
 	})
 	if err != nil {
--- a/internal/host/dispatch/dispatch.go
+++ b/internal/host/dispatch/dispatch.go
@@ -33,15 +33,26 @@
 	Gateway(zone string) (string, bool)
 }
 
+// Claim names a request that must not run twice, and the attempt that would
+// run it. Digest tells what the request asks. Within is the longest time that
+// the attempt may take.
+type Claim struct {
+	Workspace string
+	Identity  string
+	Attempt   string
+	Digest    string
+	Within    time.Duration
+}
+
 // Claims makes requests that must not run twice run at most once, whichever
 // host they reach. Errors are *api.Error.
 type Claims interface {
 	// Begin claims a request. A non-nil answer is that of its first run.
-	Begin(ctx context.Context, workspace, identity string, digest []byte) (*service.Answer, error)
+	Begin(ctx context.Context, claim Claim) (*service.Answer, error)
 	// Finish stores the answer of a claimed request for its repeats.
-	Finish(ctx context.Context, workspace, identity string, answer service.Answer) error
+	Finish(ctx context.Context, claim Claim, answer service.Answer) error
 	// Release gives a claim back whose request certainly did not run.
-	Release(ctx context.Context, workspace, identity string) error
+	Release(ctx context.Context, claim Claim) error
 }
 
 // Usage is what one request used.
--- a/internal/host/dispatch/generate.go
+++ b/internal/host/dispatch/generate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
@@ -74,37 +75,47 @@
 		return service.Answer{}, err
 	}
 	defer admitted.leave(1)
-	claimed := !call.Route.Idempotent && call.Identity != "" && d.config.Claims != nil
-	if claimed {
-		first, err := d.config.Claims.Begin(admitted.ctx, call.Caller.Workspace, call.Identity, digestOf(request))
-		if err != nil {
-			return service.Answer{}, err
-		}
-		if first != nil {
-			first.ID = call.ID
-			return *first, nil
-		}
-	}
-	answer, err = d.invoke(admitted.ctx, call, request)
-	if claimed {
-		d.settle(ctx, call, answer, err)
-	}
-	if err == nil {
+	answer, ran, err := d.claimed(admitted.ctx, call, request)
+	if err == nil && ran {
 		d.count(ctx, Usage{Workspace: call.Caller.Workspace, Requests: 1})
 	}
 	return answer, err
 }
 
+// claimed runs a call under its claim, if it needs one. It reports false when
+// the answer is that of an earlier run.
+func (d *Dispatcher) claimed(ctx context.Context, call api.Call, request service.Request) (service.Answer, bool, error) {
+	if call.Route.Idempotent || call.Identity == "" || d.config.Claims == nil {
+		answer, err := d.invoke(ctx, call, request)
+		return answer, true, err
+	}
+	one := Claim{
+		Workspace: call.Caller.Workspace, Identity: call.Identity, Attempt: call.ID,
+		Digest: digestOf(request), Within: call.Deadline.Sub(d.config.Now()),
+	}
+	first, err := d.config.Claims.Begin(ctx, one)
+	if err != nil {
+		return service.Answer{}, false, err
+	}
+	if first != nil {
+		first.ID = call.ID
+		return *first, false, nil
+	}
+	answer, err := d.invoke(ctx, call, request)
+	d.settle(ctx, one, answer, err)
+	return answer, true, err
+}
+
 // settle ends a claim: with the answer, or by giving it back when the request
-// certainly did not run. An unknown outcome stays claimed for good.
-func (d *Dispatcher) settle(ctx context.Context, call api.Call, answer service.Answer, err error) {
+// certainly did not run. An unknown outcome stays claimed.
+func (d *Dispatcher) settle(ctx context.Context, one Claim, answer service.Answer, err error) {
 	ctx = context.WithoutCancel(ctx)
 	if err == nil {
-		_ = d.config.Claims.Finish(ctx, call.Caller.Workspace, call.Identity, answer)
+		_ = d.config.Claims.Finish(ctx, one, answer) // without it, repeats are told that the outcome is unknown
 		return
 	}
 	if api.AsError(err).Ran == api.RanNo {
-		_ = d.config.Claims.Release(ctx, call.Caller.Workspace, call.Identity)
+		_ = d.config.Claims.Release(ctx, one) // without it, the claim ends with the attempt's time
 	}
 }
 
@@ -129,9 +140,9 @@
 
 // digestOf identifies what a claimed request asks, so that a key used again
 // for something else is found out.
-func digestOf(request service.Request) []byte {
+func digestOf(request service.Request) string {
 	h := sha256.New()
 	_, _ = h.Write([]byte(request.Method + "\n" + request.Path + "\n")) // hash.Hash never fails
 	_, _ = h.Write(request.Body)
-	return h.Sum(nil)
+	return hex.EncodeToString(h.Sum(nil))
 }
--- /dev/null
+++ b/internal/host/metering/metering.go
@@ -0,0 +1,136 @@
+// Package metering counts the usage that this host serves, keeps copies of
+// other hosts' counters, and seals and reports windows while this host holds
+// the duty.
+package metering
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/billing/usage"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/identity"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/link"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/view"
+	"github.com/hyssopwall/hyssopwall/internal/host/dispatch"
+	"github.com/hyssopwall/hyssopwall/internal/host/reach"
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/platform/report"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+)
+
+// The kinds of calls between hosts.
+const (
+	copyKind    = "usage.copy"
+	collectKind = "usage.collect"
+	coverKind   = "usage.cover"
+)
+
+// Config is what the metering needs from its host. Mates returns the hosts
+// that should keep copies, most wanted first; All returns every live host,
+// this one included.
+type Config struct {
+	Caller reach.Caller
+	Store  object.Store
+	Sink   report.Sink
+	Leases usage.Leases
+	Mates  func() []view.Member
+	All    func() []view.Member
+	Now    func() time.Time
+	Log    event.Log
+}
+
+// Metering is the usage part of a host. Use New, then Run.
+type Metering struct {
+	meter  *usage.Meter
+	sealer *usage.Sealer
+}
+
+// New returns the metering of a host and answers other hosts' calls about it.
+func New(config Config) *Metering {
+	m := &Metering{}
+	peers := peers{caller: config.Caller, own: m}
+	m.meter = &usage.Meter{
+		Self: config.Caller.Self, Peers: peers, Hosts: config.Mates, Alive: config.Caller.Alive, Now: config.Now,
+	}
+	m.sealer = &usage.Sealer{
+		Self: config.Caller.Self, Store: config.Store, Sink: config.Sink, Leases: config.Leases,
+		Peers: peers, Hosts: config.All, Now: config.Now, Log: config.Log,
+	}
+	m.serve(config.Caller.Endpoint)
+	return m
+}
+
+// Run works until ctx ends.
+func (m *Metering) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { m.meter.Run(ctx) })
+	group.Go(func() { m.sealer.Run(ctx) })
+	group.Wait()
+}
+
+// Count counts a request. It returns when other hosts have stored the count.
+func (m *Metering) Count(ctx context.Context, used dispatch.Usage) error {
+	return m.meter.Add(ctx, used.Workspace, usage.Count{Requests: used.Requests, Tokens: used.Tokens, Samples: used.Samples})
+}
+
+// Delivered counts samples that a trainer was handed.
+func (m *Metering) Delivered(ctx context.Context, workspace string, samples, tokens uint64) error {
+	return m.meter.Add(ctx, workspace, usage.Count{Samples: samples, Tokens: tokens})
+}
+
+// Thin returns the number of counts that too few hosts have stored.
+func (m *Metering) Thin() uint64 { return m.meter.Thin.Load() }
+
+func (m *Metering) serve(endpoint *link.Endpoint) {
+	link.Serve(endpoint, copyKind, func(_ context.Context, _ identity.Host, q usage.Copy) (reach.None, error) {
+		m.meter.Copy(q)
+		return reach.None{}, nil
+	})
+	link.Serve(endpoint, collectKind, func(_ context.Context, _ identity.Host, q open) (usage.Holdings, error) {
+		return m.meter.Collect(q.Window), nil
+	})
+	link.Serve(endpoint, coverKind, func(_ context.Context, _ identity.Host, q usage.Cover) (reach.None, error) {
+		m.meter.Cover(q)
+		return reach.None{}, nil
+	})
+}
+
+// open asks for what a host holds; Window is the sealer's current one.
+type open struct {
+	Window usage.Window `cbor:"1,keyasint"`
+}
+
+// Check accepts every window.
+func (open) Check() error { return nil }
+
+// peers sends the messages of the protocol over the links; those to this host
+// itself stay here.
+type peers struct {
+	caller reach.Caller
+	own    *Metering
+}
+
+// Copy brings counters to a host that keeps copies.
+func (p peers) Copy(ctx context.Context, to view.Member, q usage.Copy) error {
+	_, err := reach.Call[usage.Copy, reach.None](ctx, p.caller, to, copyKind, q)
+	return err
+}
+
+// Collect asks a host for what is not sealed yet.
+func (p peers) Collect(ctx context.Context, from view.Member, window usage.Window) (usage.Holdings, error) {
+	if from == p.caller.Self {
+		return p.own.meter.Collect(window), nil
+	}
+	return reach.Call[open, usage.Holdings](ctx, p.caller, from, collectKind, open{Window: window})
+}
+
+// Cover tells a host what is sealed.
+func (p peers) Cover(ctx context.Context, to view.Member, q usage.Cover) error {
+	if to == p.caller.Self {
+		p.own.meter.Cover(q)
+		return nil
+	}
+	_, err := reach.Call[usage.Cover, reach.None](ctx, p.caller, to, coverKind, q)
+	return err
+}
--- /dev/null
+++ b/internal/host/reach/reach.go
@@ -0,0 +1,72 @@
+// Package reach sends messages to a certain process of a host: a message for a
+// process that has ended is not sent to the one that followed it.
+package reach
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/fleet/link"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/view"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
+)
+
+// Timeout bounds one call.
+const Timeout = 2 * time.Second
+
+// Fleet tells which processes run, and where.
+type Fleet interface {
+	// Member returns the process that a host runs now, as far as known.
+	Member(host string) (view.Member, bool)
+	// Address returns the link address of a live host.
+	Address(host string) (string, bool)
+}
+
+// Caller calls other processes.
+type Caller struct {
+	Self     view.Member
+	Endpoint *link.Endpoint
+	Fleet    Fleet
+}
+
+// GoneError says that a process can't be reached. Nothing was sent.
+type GoneError struct {
+	Member view.Member
+}
+
+func (e *GoneError) Error() string { return fmt.Sprintf("%s can't be reached", e.Member) }
+
+// Alive reports whether a process is live; this one always is.
+func (c Caller) Alive(member view.Member) bool {
+	if member == c.Self {
+		return true
+	}
+	_, ok := c.address(member)
+	return ok
+}
+
+func (c Caller) address(member view.Member) (string, bool) {
+	now, known := c.Fleet.Member(member.Host)
+	address, live := c.Fleet.Address(member.Host)
+	return address, known && live && now == member
+}
+
+// Call sends a request to a process and waits for its answer. It returns a
+// *GoneError when the process is not live, and the errors of link.Call.
+func Call[Q, A wire.Message](ctx context.Context, c Caller, to view.Member, kind string, q Q) (A, error) {
+	address, ok := c.address(to)
+	if !ok {
+		var zero A
+		return zero, &GoneError{Member: to}
+	}
+	ctx, stop := context.WithTimeout(ctx, Timeout)
+	defer stop()
+	return link.Call[Q, A](ctx, c.Endpoint, address, kind, q)
+}
+
+// None is an answer without content.
+type None struct{}
+
+// Check accepts every answer.
+func (None) Check() error { return nil }
--- a/internal/host/server/document.go
+++ b/internal/host/server/document.go
@@ -35,6 +35,7 @@
 	s.index.Store(index)
 	s.quota.SetLimits(limitsOf(index), s.firstShare)
 	s.home.SetWeights(sharesOf(index))
+	s.claims.SetZones(zonesOf(doc))
 	s.rolls.set(s.ctx, doc)
 	s.config.Log.Emit(event.ConfigurationApplied, "version", version)
 	for _, caller := range gone {
@@ -64,6 +65,14 @@
 	return limits
 }
 
+func zonesOf(doc document.Document) []string {
+	names := make([]string, len(doc.Zones))
+	for i, zone := range doc.Zones {
+		names[i] = zone.Name
+	}
+	return names
+}
+
 func sharesOf(index *document.Index) map[string]int {
 	shares := make(map[string]int)
 	for _, workspace := range index.Document.Workspaces {
--- a/internal/host/server/duties.go
+++ b/internal/host/server/duties.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/hyssopwall/hyssopwall/internal/billing/usage"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/lease"
 	"github.com/hyssopwall/hyssopwall/internal/platform/weightstore"
 	"github.com/hyssopwall/hyssopwall/internal/rollout/weights"
@@ -15,7 +16,7 @@
 const (
 	dutyWeights = "weights"
 	dutyOrder   = "order"
-	dutySealing = "sealing"
+	dutyUsage   = usage.Duty
 )
 
 // contenders is the number of hosts that contend for a duty; each reads the
@@ -26,7 +27,7 @@
 func (s *Server) newHolder() *lease.Holder {
 	return &lease.Holder{
 		Host: s.config.Settings.Host, Incarnation: s.incarnation, Store: s.store, Clock: lease.Boot{},
-		Config: s.config.Lease, Duties: []string{dutyWeights, dutyOrder, dutySealing}, Contend: s.contends, Log: s.config.Log,
+		Config: s.config.Lease, Duties: []string{dutyWeights, dutyOrder, dutyUsage}, Contend: s.contends, Log: s.config.Log,
 	}
 }
 
--- a/internal/host/server/hello.go
+++ b/internal/host/server/hello.go
@@ -28,6 +28,7 @@
 	Leaving   bool            `cbor:"6,keyasint,omitempty"`
 	Summaries []route.Summary `cbor:"7,keyasint,omitempty"`
 	Known     []string        `cbor:"8,keyasint,omitempty"`
+	Process   uint64          `cbor:"9,keyasint"` // incarnation
 }
 
 // Check returns a *wire.FieldError for the first wrong field.
--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -161,6 +161,7 @@
 	h := hello{
 		Host: s.config.Settings.Host, Zone: s.config.Settings.Zone, Address: s.endpoint.Address(),
 		Version: s.version(), Fresh: p.fresh(), Leaving: s.draining.Load(), Summaries: s.home.Summaries(),
+		Process: s.incarnation,
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/host/server/server.go
+++ b/internal/host/server/server.go
@@ -21,12 +21,17 @@
 	"github.com/hyssopwall/hyssopwall/internal/fleet/identity"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/lease"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/link"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/view"
 	"github.com/hyssopwall/hyssopwall/internal/host/api"
+	"github.com/hyssopwall/hyssopwall/internal/host/claims"
 	"github.com/hyssopwall/hyssopwall/internal/host/dispatch"
 	"github.com/hyssopwall/hyssopwall/internal/host/forward"
 	"github.com/hyssopwall/hyssopwall/internal/host/home"
+	"github.com/hyssopwall/hyssopwall/internal/host/metering"
+	"github.com/hyssopwall/hyssopwall/internal/host/reach"
 	"github.com/hyssopwall/hyssopwall/internal/host/steps"
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/platform/report"
 	"github.com/hyssopwall/hyssopwall/internal/platform/supply"
 	"github.com/hyssopwall/hyssopwall/internal/platform/weightstore"
 	"github.com/hyssopwall/hyssopwall/internal/rollout/step"
@@ -43,7 +48,8 @@
 type Config struct {
 	Settings settings.Settings
 	Identity *identity.Source
-	Lease    lease.Config // zero for the defaults
+	Lease    lease.Config     // zero for the defaults
+	Clock    func() time.Time // of usage windows; nil means time.Now
 	Log      event.Log
 }
 
@@ -67,6 +73,8 @@
 	peers    *peers
 	leases   *lease.Holder
 	rolls    *rolls
+	claims   *claims.Claims
+	metering *metering.Metering
 	index    atomic.Pointer[document.Index]
 	docMu    sync.Mutex
 	doc      told
@@ -109,18 +117,24 @@
 	s.weights = newReleases(&weightstore.Client{Base: base})
 	s.home = home.New(home.Config{Host: set.Host, Zone: set.Zone, Dialer: dialer{}, Now: time.Now, Log: s.config.Log})
 	s.peers = newPeers(s)
+	s.leases = s.newHolder()
+	caller := reach.Caller{Self: s.member(), Endpoint: s.endpoint, Fleet: s.peers}
+	s.claims = claims.New(claims.Config{Zone: set.Zone, Store: s.store, Caller: caller, Near: s.peers.near})
+	s.metering = metering.New(metering.Config{
+		Caller: caller, Store: s.store, Sink: &report.Client{Base: base}, Leases: s.leases,
+		Mates: s.peers.mates, All: s.peers.all, Now: s.usageClock(), Log: s.config.Log,
+	})
 	s.dispatch = dispatch.New(dispatch.Config{
 		Host: set.Host, Zone: set.Zone, Gate: &s.gate, Quota: &s.quota, Picker: &s.picker, Poison: &s.poison,
 		Local: s.home, Remote: forward.Remote{Endpoint: s.endpoint}, Fleet: s.peers,
-		Spread: s.peers.spreadMarks, Now: time.Now, Log: s.config.Log,
+		Claims: s.claims, Meter: s.metering, Spread: s.peers.spreadMarks, Now: time.Now, Log: s.config.Log,
 	})
-	s.leases = s.newHolder()
 	s.rolls = &rolls{server: s, duties: make(map[string]*rollout.Duty)}
 	s.serveEngines()
 	forward.Serve(s.endpoint, s.dispatch)
 	s.steps = steps.New(steps.Config{
 		Host: set.Host, Store: s.store, Generator: s.generator, Scorer: s.scorer, Weights: s.weights,
-		Gate: &s.gate, Fleet: s.peers, Endpoint: s.endpoint, Log: s.config.Log,
+		Gate: &s.gate, Fleet: s.peers, Endpoint: s.endpoint, Meter: s.metering, Log: s.config.Log,
 	})
 	handler := (&api.Server{
 		Gate: &s.gate, Index: s.index.Load, CutOff: s.peers.cutOff, Now: time.Now,
@@ -137,6 +151,8 @@
 	s.duties.Go(func() { s.peers.run(ctx) })
 	s.duties.Go(func() { s.weights.run(ctx) })
 	s.duties.Go(func() { s.leases.Run(ctx) })
+	s.duties.Go(func() { s.claims.Run(ctx) })
+	s.duties.Go(func() { s.metering.Run(ctx) })
 	s.duties.Go(func() {
 		if err := s.web.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 			s.cancel()
@@ -144,6 +160,18 @@
 	})
 }
 
+// member names this process to the protocols between hosts.
+func (s *Server) member() view.Member {
+	return view.Member{Host: s.config.Settings.Host, Incarnation: s.incarnation}
+}
+
+func (s *Server) usageClock() func() time.Time {
+	if s.config.Clock != nil {
+		return s.config.Clock
+	}
+	return time.Now
+}
+
 // Address returns the IP:port for callers.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
