Spread the accepted configuration document

Cause: an accepted document has to be in force on every host within seconds and must never revert. Change: package spread holds the decision core (fetch from the first peer that shows a higher version, deltas with a digest, watch by rank), the conditional write that accepts a document and reads back lost answers, the data folder, and the duty that runs them over link.

--- /dev/null
+++ b/internal/fleet/spread/accept_test.go
@@ -0,0 +1,140 @@
+package spread_test
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/fleet/spread"
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+)
+
+// store holds one object. before runs ahead of each Put and may replace its
+// outcome.
+type store struct {
+	object.Store
+	now    object.Object
+	stale  []object.Object // answers of the next reads
+	before func(put func() error) error
+}
+
+func (s *store) Get(context.Context, string) (object.Object, error) {
+	current := s.now
+	if len(s.stale) > 0 {
+		current, s.stale = s.stale[0], s.stale[1:]
+	}
+	if current.Version == 0 {
+		return object.Object{}, &object.NotFoundError{Key: spread.Key}
+	}
+	return current, nil
+}
+
+func (s *store) Put(_ context.Context, key string, value []byte, expect uint64) (object.Object, error) {
+	put := func() error {
+		if s.now.Version != expect {
+			return &object.ConflictError{Key: key, Want: expect, Have: s.now.Version}
+		}
+		s.now = object.Object{Key: key, Version: s.now.Version + 7, Value: value}
+		return nil
+	}
+	if before := s.before; before != nil {
+		s.before = nil
+		return s.now, before(put)
+	}
+	return s.now, put()
+}
+
+var errLost = errors.New("answer lost")
+
+var _ = Describe("Accept", func() {
+	submission := func(by string, base uint64) spread.Submission {
+		return spread.Submission{By: by, Base: base, At: time.Unix(1, 0), Body: []byte("{}")}
+	}
+	accept := func(ctx context.Context, s *store, by string, base uint64) (spread.Accepted, error) {
+		return spread.Accept(ctx, s, submission(by, base))
+	}
+	It("numbers documents one by one", func(ctx SpecContext) {
+		s := &store{}
+		for base := range uint64(3) {
+			accepted, err := accept(ctx, s, "a", base)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(accepted.Version).To(Equal(base + 1))
+		}
+	})
+	It("gives one of two racing operators a conflict that names the other", func(ctx SpecContext) {
+		s := &store{}
+		s.before = func(put func() error) error {
+			_, err := accept(ctx, s, "b", 0)
+			Expect(err).NotTo(HaveOccurred())
+			return put()
+		}
+		_, err := accept(ctx, s, "a", 0)
+		var conflict *spread.ConflictError
+		Expect(errors.As(err, &conflict)).To(BeTrue())
+		Expect(*conflict).To(Equal(spread.ConflictError{Base: 0, Have: 1, By: "b"}))
+	})
+	It("reads back a write whose answer was lost", func(ctx SpecContext) {
+		s := &store{}
+		s.before = func(put func() error) error {
+			Expect(put()).To(Succeed())
+			return &object.UnknownError{Key: spread.Key, Err: errLost}
+		}
+		accepted, err := accept(ctx, s, "a", 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(accepted.Version).To(Equal(uint64(1)))
+		Expect(s.now.Version).To(Equal(uint64(7)), "written once")
+	})
+	It("repeats a write that had no effect", func(ctx SpecContext) {
+		s := &store{before: func(func() error) error { return &object.UnknownError{Key: spread.Key, Err: errLost} }}
+		_, err := accept(ctx, s, "a", 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.now.Version).To(Equal(uint64(7)))
+	})
+	It("finds a conflict behind a lost answer", func(ctx SpecContext) {
+		s := &store{}
+		s.before = func(func() error) error {
+			_, err := accept(ctx, s, "b", 0)
+			Expect(err).NotTo(HaveOccurred())
+			return &object.UnknownError{Key: spread.Key, Err: errLost}
+		}
+		_, err := accept(ctx, s, "a", 0)
+		var conflict *spread.ConflictError
+		Expect(errors.As(err, &conflict)).To(BeTrue())
+	})
+	It("is not misled by an old read", func(ctx SpecContext) {
+		s := &store{}
+		_, err := accept(ctx, s, "a", 0)
+		Expect(err).NotTo(HaveOccurred())
+		old := s.now
+		_, err = accept(ctx, s, "a", 1)
+		Expect(err).NotTo(HaveOccurred())
+		s.stale = []object.Object{{}, old}
+		accepted, err := accept(ctx, s, "a", 2)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(accepted.Version).To(Equal(uint64(3)))
+		s.stale = []object.Object{old}
+		_, err = accept(ctx, s, "b", 1)
+		var conflict *spread.ConflictError
+		Expect(errors.As(err, &conflict)).To(BeTrue())
+	})
+	It("says so when the outcome can't be learned", func(ctx SpecContext) {
+		short, cancel := context.WithCancel(ctx)
+		s := &store{before: func(func() error) error {
+			cancel()
+			return &object.UnknownError{Key: spread.Key, Err: errLost}
+		}}
+		_, err := accept(short, s, "a", 0)
+		var unknown *spread.OutcomeError
+		Expect(errors.As(err, &unknown)).To(BeTrue())
+		Expect(unknown.ID).NotTo(BeEmpty())
+	})
+	It("reports an outage before any write as it is", func(ctx SpecContext) {
+		s := &store{before: func(func() error) error { return &object.OutageError{Err: errLost} }}
+		_, err := accept(ctx, s, "a", 0)
+		var outage *object.OutageError
+		Expect(errors.As(err, &outage)).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/internal/fleet/spread/duty_test.go
@@ -0,0 +1,118 @@
+package spread_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/fleet/identity"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/link"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/spread"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+)
+
+// platform answers reads of one object and wakes watches when it changes.
+type platform struct {
+	object.Reader
+	mu      sync.Mutex
+	now     object.Object
+	changed chan struct{}
+}
+
+func newPlatform() *platform { return &platform{changed: make(chan struct{})} }
+
+func (p *platform) set(accepted spread.Accepted) {
+	value, err := wire.Encode(accepted)
+	Expect(err).NotTo(HaveOccurred())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.now = object.Object{Key: spread.Key, Version: p.now.Version + 1, Value: value}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *platform) batch() (object.Batch, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.now.Version == 0 {
+		return object.Batch{}, p.changed
+	}
+	return object.Batch{Objects: []object.Object{p.now}, Revision: p.now.Version}, p.changed
+}
+
+func (p *platform) List(context.Context, string) (object.Batch, error) {
+	batch, _ := p.batch()
+	return batch, nil
+}
+
+func (p *platform) Watch(ctx context.Context, _ string, after uint64) (object.Batch, error) {
+	for {
+		batch, changed := p.batch()
+		if batch.Revision > after {
+			return batch, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return object.Batch{}, &object.OutageError{Err: ctx.Err()}
+		}
+	}
+}
+
+var _ = Describe("the duty", func() {
+	var authority identity.Pair
+	quiet := event.Log{Sink: func(event.Entry, []any) {}}
+	endpoint := func(name string) *link.Endpoint {
+		pair, err := identity.Issue(authority, identity.Host{Name: name, Zone: "z1"}, time.Now(), time.Hour)
+		Expect(err).NotTo(HaveOccurred())
+		material, err := identity.Assemble(pair, authority.Certificate)
+		Expect(err).NotTo(HaveOccurred())
+		e, err := link.Listen(link.Config{Address: "127.0.0.1:0", Identity: identity.Fixed(material, time.Now, quiet), Log: quiet})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(e.Close)
+		return e
+	}
+	start := func(config spread.Config) *spread.Duty {
+		config.Log = quiet
+		duty := spread.Start(config)
+		DeferCleanup(duty.Close)
+		return duty
+	}
+	BeforeEach(func() {
+		var err error
+		authority, err = identity.Create(time.Now(), time.Hour)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("brings a change from the platform through a watcher to a host without platform", func(ctx SpecContext) {
+		platform := newPlatform()
+		platform.set(document("1"))
+		link1, link2 := endpoint("h1"), endpoint("h2")
+		watcher := start(spread.Config{Endpoint: link1, Platform: platform})
+		cut := start(spread.Config{Endpoint: link2})
+		_, ready := cut.Current()
+		Expect(ready).To(BeFalse())
+		changes, cancel := cut.Subscribe()
+		defer cancel()
+		watcher.Rank(0)
+		for _, name := range []string{"1", "2", "3"} {
+			platform.set(document(name))
+			version := document(name).Version
+			Eventually(ctx, watcher.Version).Should(Equal(version))
+			cut.Hear(link1.Address(), version)
+			Eventually(ctx, changes).Should(Receive(HaveField("Version", version)))
+		}
+	})
+
+	It("starts from the data folder when nothing else can be reached", func() {
+		folder := spread.Folder{Path: GinkgoT().TempDir()}
+		Expect(folder.Save(document("4"))).To(Succeed())
+		duty := start(spread.Config{Endpoint: endpoint("h1"), Folder: folder})
+		Expect(duty.Version()).To(Equal(uint64(4)))
+	})
+})
--- a/internal/site/event/fleet.go
+++ b/internal/site/event/fleet.go
@@ -13,6 +13,8 @@
 	PlatformBack
 	CertificateUnusable
 	ConfigurationDiverged
+	ConfigurationUnreadable
+	DataFolderFailed
 )
 
 func fleetEvents() []Entry {
@@ -28,5 +30,7 @@
 		{PlatformBack, Info, "platform reachable again", "A call succeeded.", "Nothing."},
 		{CertificateUnusable, Error, "certificate files unusable", "They are missing, don't fit each other, or name another host; the last good certificate stays in use.", "Write a matching certificate and key before the old certificate expires."},
 		{ConfigurationDiverged, Error, "two documents of one version", "The platform lost or replaced the accepted document.", "Submit the document again; the next version settles it."},
+		{ConfigurationUnreadable, Error, "accepted document unreadable", "The platform's object is not one that this version writes.", "Compare the versions of the hosts; submit the document again."},
+		{DataFolderFailed, Warning, "data folder unusable", "A write to it failed.", "Check the disk of the host; it goes on without it."},
 	}
 }
