--- a/internal/standin/command/servers.go
+++ b/internal/standin/command/servers.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 
@@ -22,16 +21,16 @@
 	Fault   []string `help:"Fault as STEP:KIND[:COUNT[:DELAY]]; may be repeated." placeholder:"FAULT"`
 }
 
-// script reads the faults, whose steps must be among those of the stand-in.
-func (l listening) script(steps []fault.Step) (*fault.Script, error) {
+// script reads the faults, which the stand-in must be able to bring about.
+func (l listening) script(catalog fault.Catalog) (*fault.Script, error) {
 	script := &fault.Script{}
 	for _, text := range l.Fault {
 		rule, err := fault.Parse(text)
 		if err != nil {
 			return nil, &UseError{"fault", err}
 		}
-		if !slices.Contains(steps, rule.Step) {
-			return nil, &UseError{"fault", fmt.Errorf("no step %s, only %v", rule.Step, steps)}
+		if err := catalog.Check(rule); err != nil {
+			return nil, &UseError{"fault", err}
 		}
 		script.Add(rule)
 	}
@@ -101,7 +100,7 @@
 }
 
 func (c *platformCommand) Run(env environment) error {
-	script, err := c.script(platform.Steps())
+	script, err := c.script(platform.Catalog())
 	if err != nil {
 		return err
 	}
@@ -208,7 +207,7 @@
 }
 
 func (c *engineCommand) Run(env environment) error {
-	script, err := c.script(engine.Steps())
+	script, err := c.script(engine.Catalog())
 	if err != nil {
 		return err
 	}
@@ -241,7 +240,7 @@
 }
 
 func (c *serviceCommand) Run(env environment) error {
-	script, err := c.script([]fault.Step{service.Call})
+	script, err := c.script(service.Catalog())
 	if err != nil {
 		return err
 	}
@@ -261,7 +260,7 @@
 }
 
 func (c *scorerCommand) Run(env environment) error {
-	script, err := c.script([]fault.Step{service.Call})
+	script, err := c.script(service.Catalog())
 	if err != nil {
 		return err
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -40,11 +40,6 @@
 	Cache   fault.Step = "cache"
 )
 
-// Steps lists the steps.
-func Steps() []fault.Step {
-	return []fault.Step{Run, Stream, Cancel, Export, Import, Command, Load, State, Cache}
-}
-
 // Settings configures a stand-in. Zero counts and Step mean the defaults. With
 // Ticks each value received runs one step of the batch, and Step is not used.
 type Settings struct {
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -43,7 +43,7 @@
 }
 
 func (e *Engine) fetch(ctx context.Context, b *boot, command engine.Command) error {
-	rule, due := e.settings.Faults.Take(Load, command.ID, fault.Refuse, fault.Crash, fault.Delay)
+	rule, due := e.settings.Faults.Take(Load, command.ID, faultsLoad...)
 	if due {
 		switch rule.Kind {
 		case fault.Refuse:
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -41,7 +41,7 @@
 	if rule, due := script.Take(step, subject, fault.Delay); due {
 		rule.Wait(r.Context())
 	}
-	rule, due := script.Take(step, subject, fault.Crash, fault.DropBefore, fault.Refuse, fault.Down)
+	rule, due := script.Take(step, subject, faultsBefore...)
 	if !due {
 		return false
 	}
@@ -117,7 +117,7 @@
 // send streams the events of a generation. A caller that goes away cancels it.
 func (e *Engine) send(w http.ResponseWriter, r *http.Request, b *boot, s *sequence) {
 	stream := &sender{engine: e, w: w, r: r, sequence: s}
-	stream.rule, stream.faulty = e.settings.Faults.Take(Stream, s.request.Prompt, streamFaults...)
+	stream.rule, stream.faulty = e.settings.Faults.Take(Stream, s.request.Prompt, faultsStream...)
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	w.WriteHeader(http.StatusOK)
 	stream.flush() // the caller learns that the generation was taken in
@@ -147,11 +147,6 @@
 	}
 }
 
-// streamFaults are the faults of an answer that has begun.
-var streamFaults = []fault.Kind{
-	fault.Truncated, fault.Crossed, fault.Corrupt, fault.Doubled, fault.Unlabelled, fault.Slow, fault.DropAfter, fault.Crash,
-}
-
 // sender writes events and damages them as its rule says.
 type sender struct {
 	engine   *Engine
--- a/internal/standin/fault/parse.go
+++ b/internal/standin/fault/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -16,6 +17,23 @@
 	}
 }
 
+// Catalog lists the kinds of faults that a stand-in can bring about at each of
+// its steps.
+type Catalog map[Step][]Kind
+
+// Check returns a *ParseError for a rule that could never happen.
+func (c Catalog) Check(rule Rule) error {
+	text := string(rule.Step) + ":" + string(rule.Kind)
+	kinds, found := c[rule.Step]
+	if !found {
+		return &ParseError{text, fmt.Sprintf("no step %s, only %v", rule.Step, slices.Sorted(maps.Keys(c)))}
+	}
+	if !slices.Contains(kinds, rule.Kind) {
+		return &ParseError{text, fmt.Sprintf("step %s has no kind %s, only %v", rule.Step, rule.Kind, kinds)}
+	}
+	return nil
+}
+
 // ParseError says what is wrong with a rule in text form.
 type ParseError struct {
 	Text   string
--- a/internal/standin/platform/call.go
+++ b/internal/standin/platform/call.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"golang.org/x/time/rate"
@@ -31,11 +32,28 @@
 	Download Call = "download"
 )
 
-// Steps lists the calls.
-func Steps() []fault.Step {
-	return []fault.Step{Get, List, Watch, Put, Delete, Place, Servers, Report, Hosts, Newest, Download}
+// Catalog lists the faults of each call.
+func Catalog() fault.Catalog {
+	catalog := fault.Catalog{}
+	for _, call := range []Call{Get, List, Watch, Put, Delete, Place, Servers, Report, Hosts, Newest, Download} {
+		catalog[call] = slices.Concat([]fault.Kind{fault.Delay}, faultsBefore, faultsAfter)
+	}
+	for _, call := range []Call{Get, List, Hosts, Newest} {
+		catalog[call] = append(catalog[call], fault.Stale)
+	}
+	for _, call := range []Call{Put, Delete} {
+		catalog[call] = append(catalog[call], fault.Doubled)
+	}
+	catalog[Place] = append(catalog[Place], fault.IgnoreFencing)
+	return catalog
 }
 
+// The faults of every call, before and after it takes effect.
+var (
+	faultsBefore = []fault.Kind{fault.DropBefore, fault.Refuse, fault.Down, fault.Limit}
+	faultsAfter  = []fault.Kind{fault.DropAfter, fault.Truncated, fault.Corrupt, fault.Slow}
+)
+
 // reply is the answer of a handler. A status other than 200 comes with a
 // rest.Problem and says that nothing was done.
 type reply struct {
@@ -135,7 +153,7 @@
 	if rule, due := script.Take(call, subject, fault.Delay); due {
 		rule.Wait(r.Context())
 	}
-	rule, due := script.Take(call, subject, fault.DropBefore, fault.Refuse, fault.Down, fault.Limit)
+	rule, due := script.Take(call, subject, faultsBefore...)
 	if !due {
 		return false
 	}
@@ -155,7 +173,7 @@
 // after runs the call and brings about the faults of its answer.
 func (p *Platform) after(w http.ResponseWriter, r *http.Request, call Call, do handler) {
 	result := do(r)
-	rule, _ := p.settings.Faults.Take(call, subject(r), fault.DropAfter, fault.Truncated, fault.Corrupt, fault.Slow)
+	rule, _ := p.settings.Faults.Take(call, subject(r), faultsAfter...)
 	switch rule.Kind {
 	case fault.DropAfter:
 		web.Drop()
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -22,6 +23,17 @@
 // Call is the only step.
 const Call fault.Step = "call"
 
+// The faults of a call, before and after it runs.
+var (
+	faultsBefore = []fault.Kind{fault.DropBefore, fault.Refuse, fault.Down, fault.Limit}
+	faultsAfter  = []fault.Kind{fault.Crash, fault.DropAfter, fault.Crossed, fault.Truncated, fault.Corrupt, fault.Slow}
+)
+
+// Catalog lists the faults of a call.
+func Catalog() fault.Catalog {
+	return fault.Catalog{Call: slices.Concat([]fault.Kind{fault.Delay}, faultsBefore, faultsAfter)}
+}
+
 // HeaderKey names a call that its caller may send again.
 const HeaderKey = "Idempotency-Key"
 
@@ -200,7 +212,7 @@
 	if rule, due := script.Take(Call, subject, fault.Delay); due {
 		rule.Wait(r.Context())
 	}
-	rule, due := script.Take(Call, subject, fault.DropBefore, fault.Refuse, fault.Down, fault.Limit)
+	rule, due := script.Take(Call, subject, faultsBefore...)
 	if !due {
 		return false
 	}
@@ -220,8 +232,7 @@
 
 // answer writes the answer of a call that has run.
 func (s *Service) answer(w http.ResponseWriter, r *http.Request, id string, body []byte) {
-	rule, _ := s.settings.Faults.Take(Call, string(body),
-		fault.Crash, fault.DropAfter, fault.Crossed, fault.Truncated, fault.Corrupt, fault.Slow)
+	rule, _ := s.settings.Faults.Take(Call, string(body), faultsAfter...)
 	if s.poisoned(body) || rule.Kind == fault.Crash {
 		s.Crash()
 		web.Drop()
