Take no list or watch of an old state, and bound what an engine may send

A watch whose revision is older than the one asked for, or whose objects lie outside of the prefix, is an outage now: a platform that answers from an old state can't bring an old configuration back. An engine's answer ends as broken once it exceeds the tokens asked for or 8 MiB, and a whole answer is at most 16 MiB, so that one back end can't fill a host's memory. A digest is not compared on answers to HEAD. hyssopstand lists the faults that it takes.

--- a/internal/backend/engine/fuzz_test.go
+++ b/internal/backend/engine/fuzz_test.go
@@ -19,6 +19,7 @@
 	f.Add([]byte(`{"id":"r","text":"a b "}` + "\n" + last + last))
 	f.Add([]byte(`{"id":"s"}`))
 	f.Add([]byte(`{"id":"r","tokens":-1}`))
+	f.Add([]byte(`{"id":"r","tokens":5}` + "\n" + `{"id":"r","tokens":5}`))
 	f.Add([]byte("{\"id\":\"r\"}\nnull\n[]\n"))
 	f.Add([]byte(last[:20]))
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/backend/engine/stream.go
+++ b/internal/backend/engine/stream.go
@@ -15,6 +15,7 @@
 // Limits of an answer stream.
 const (
 	maxLine   = 1 << 20 // bytes of one event
+	maxText   = 8 << 20 // bytes of all events
 	firstLine = 4 << 10 // bytes of the first read buffer
 	maxDrain  = 4 << 10 // bytes read after the last event to keep the connection
 	drainTime = 100 * time.Millisecond
@@ -29,6 +30,7 @@
 	lines   *bufio.Scanner
 	digest  hash.Hash
 	tokens  int
+	size    int  // bytes of text
 	counted bool // some event before the last carried a token count
 	done    bool
 	failed  error
@@ -75,15 +77,29 @@
 	if event.Tokens < 0 {
 		return Event{}, s.broken(ReasonMalformed, errors.New("negative token count"))
 	}
+	s.size += len(event.Text)
+	if s.size > maxText {
+		return Event{}, s.broken(ReasonMalformed, errors.New("answer is too large"))
+	}
 	_, _ = io.WriteString(s.digest, event.Text)
 	if event.Done {
 		return event, s.finish(event)
 	}
 	s.tokens += event.Tokens
 	s.counted = s.counted || event.Tokens > 0
+	if s.exceeds(s.tokens) {
+		return Event{}, s.broken(ReasonDigest, errTokens)
+	}
 	return event, nil
 }
 
+// errTokens is the cause when an engine goes on beyond the request's limit.
+var errTokens = errors.New("more tokens than asked for")
+
+func (s *stream) exceeds(tokens int) bool {
+	return s.request.MaxTokens > 0 && tokens > s.request.MaxTokens
+}
+
 // finish checks the last event against all that came before.
 func (s *stream) finish(event Event) error {
 	if event.Digest != hex.EncodeToString(s.digest.Sum(nil)) {
@@ -92,8 +108,8 @@
 	if s.counted && event.Tokens != s.tokens {
 		return s.broken(ReasonDigest, errors.New("token count differs"))
 	}
-	if limit := s.request.MaxTokens; limit > 0 && event.Tokens > limit {
-		return s.broken(ReasonDigest, errors.New("more tokens than asked for"))
+	if s.exceeds(event.Tokens) {
+		return s.broken(ReasonDigest, errTokens)
 	}
 	s.done = true
 	return nil
--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -71,7 +71,9 @@
 	if !framed(answer) {
 		return Answer{}, &BrokenError{ID: id, Reason: ReasonTruncated, Sent: true, Err: errors.New("answer has neither length nor digest")}
 	}
-	if !digestMatches(answer.Header.Get(HeaderDigest), body) {
+	// The digest of an answer to HEAD is that of the body which GET gives.
+	head := answer.Request != nil && answer.Request.Method == http.MethodHead
+	if !head && !digestMatches(answer.Header.Get(HeaderDigest), body) {
 		return Answer{}, &BrokenError{ID: id, Reason: ReasonDigest, Sent: true}
 	}
 	if refused(answer) {
--- a/internal/backend/service/client_test.go
+++ b/internal/backend/service/client_test.go
@@ -89,6 +89,10 @@
 		Expect(server.Restart()).To(Succeed())
 		_, err = (&service.Client{Base: server.URL()}).Call(ctx, request())
 		Expect(err).NotTo(HaveOccurred())
+		head := request()
+		head.Method = http.MethodHead
+		_, err = (&service.Client{Base: server.URL()}).Call(ctx, head)
+		Expect(err).NotTo(HaveOccurred())
 		server.Close()
 		Expect(server.Restart()).To(Succeed())
 		_, err = (&service.Client{Base: server.URL()}).Call(ctx, request())
--- a/internal/platform/object/fuzz_test.go
+++ b/internal/platform/object/fuzz_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
@@ -59,3 +60,33 @@
 		}
 	})
 }
+
+// FuzzWatch answers a watch with anything. What is taken is under the prefix
+// and after the revision asked for, so that no old state comes back.
+func FuzzWatch(f *testing.F) {
+	f.Add([]byte(`{"objects":[{"key":"a/x","version":8}],"revision":8}`))
+	f.Add([]byte(`{"objects":[{"key":"b/x","version":8}],"revision":8}`))
+	f.Add([]byte(`{"objects":[{"key":"a/x","version":7}],"revision":8}`))
+	f.Add([]byte(`{"objects":[{"key":"a/x","version":9}],"revision":8}`))
+	f.Add([]byte(`{"revision":3}`))
+	f.Add([]byte(`{"objects":null,"revision":7}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		fake := &http.Client{Transport: canned{http.StatusOK, "", body}}
+		client := &object.Client{Base: "http://127.0.0.1:1", HTTP: fake}
+		batch, err := client.Watch(t.Context(), "a/", 7)
+		if err != nil {
+			if _, outage := errors.AsType[*object.OutageError](err); !outage {
+				t.Fatalf("got %v", err)
+			}
+			return
+		}
+		for _, one := range batch.Objects {
+			if !strings.HasPrefix(one.Key, "a/") || one.Version <= 7 || one.Version > batch.Revision {
+				t.Fatalf("took %v of revision %d", one, batch.Revision)
+			}
+		}
+		if batch.Revision < 7 {
+			t.Fatalf("took the old revision %d", batch.Revision)
+		}
+	})
+}
--- a/internal/platform/object/queries.go
+++ b/internal/platform/object/queries.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/platform/rest"
@@ -31,7 +32,7 @@
 // List implements Reader.
 func (c *Client) List(ctx context.Context, prefix string) (Batch, error) {
 	batch, err := rest.Get[Batch](ctx, c.caller(), "/v1/objects", url.Values{"prefix": {prefix}})
-	return batch, ReadFailure(prefix, err)
+	return checked(batch, prefix, 0, err)
 }
 
 // Watch implements Reader. The platform may leave out values that were
@@ -45,5 +46,41 @@
 		"wait":   {WatchWait.String()},
 	}
 	batch, err := rest.Get[Batch](ctx, c.caller(), "/v1/watch", query)
-	return batch, ReadFailure(prefix, err)
+	return checked(batch, prefix, after, err)
+}
+
+func checked(batch Batch, prefix string, after uint64, err error) (Batch, error) {
+	if err == nil {
+		err = batch.Check(prefix, after)
+	}
+	if err != nil {
+		return Batch{}, ReadFailure(prefix, err)
+	}
+	return batch, nil
+}
+
+// BatchError says why a batch can't be the answer to a list or watch.
+type BatchError struct {
+	Key    string
+	Reason string
+}
+
+func (e *BatchError) Error() string { return "batch with " + e.Key + ": " + e.Reason }
+
+// Check returns a *BatchError when an object is not under the prefix, or when
+// its version is not after the given revision and up to the batch's own. A
+// platform that answers from an old state is found in this way.
+func (b Batch) Check(prefix string, after uint64) error {
+	if b.Revision < after {
+		return &BatchError{prefix, "its revision is older than the one asked for"}
+	}
+	for _, one := range b.Objects {
+		switch {
+		case !strings.HasPrefix(one.Key, prefix):
+			return &BatchError{one.Key, "it is not under " + prefix}
+		case one.Version <= after || one.Version > b.Revision:
+			return &BatchError{one.Key, "its version is not among those asked for"}
+		}
+	}
+	return nil
 }
--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -19,7 +19,7 @@
 // Limits of a call.
 const (
 	DefaultTimeout = 10 * time.Second // for a call whose context has no deadline
-	MaxAnswer      = 64 << 20         // bytes of an answer's body
+	MaxAnswer      = 16 << 20         // bytes of an answer's body
 	mostAttempts   = idlePerHost + 1  // connections tried before a byte is written
 )
 
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -27,6 +27,7 @@
 	Scorer   scorerCommand   `cmd:"" help:"Run a scoring service."`
 	Trainer  trainerCommand  `cmd:"" help:"Open steps and pull their samples."`
 	Load     loadCommand     `cmd:"" help:"Send an open load and report latency."`
+	Faults   faultsCommand   `cmd:"" help:"List the faults that --fault takes."`
 }
 
 // environment is what a command runs in.
