Tell what was sent over TLS too

The counted connection lies below TLS there. Handshake and alerts count as written, which errs on the safe side; a connection that its server closed is found as on plain TCP.

--- a/internal/platform/rest/rest_test.go
+++ b/internal/platform/rest/rest_test.go
@@ -80,11 +80,25 @@
 		Expect(err).To(MatchError(errSealed))
 	})
 
-	It("sends nothing on a connection that its server has closed", func(ctx SpecContext) {
+	DescribeTable("sends nothing on a connection that its server has closed", func(ctx SpecContext, secure bool) {
 		client := NewClient()
 		var calls atomic.Int64
-		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
-		address := server.Listener.Addr().String()
+		handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) })
+		serve := func(address string) *httptest.Server {
+			listener, err := net.Listen("tcp", address)
+			Expect(err).NotTo(HaveOccurred())
+			server := httptest.NewUnstartedServer(handler)
+			Expect(server.Listener.Close()).To(Succeed())
+			server.Listener = listener
+			if secure {
+				server.StartTLS()
+				client.Transport.(*http.Transport).TLSClientConfig = server.Client().Transport.(*http.Transport).TLSClientConfig
+			} else {
+				server.Start()
+			}
+			return server
+		}
+		server := serve("127.0.0.1:0")
 		caller := Caller{Base: server.URL, HTTP: client}
 		call := Call{Method: http.MethodPost, Path: "/", Body: []byte("b")}
 		_, err := caller.Do(ctx, call)
@@ -94,18 +108,14 @@
 		failed, broken := errors.AsType[*LostError](err)
 		Expect(broken).To(BeTrue())
 		Expect(failed.Sent).To(BeFalse())
-
-		listener, err := net.Listen("tcp", address)
-		Expect(err).NotTo(HaveOccurred())
-		server = httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
-		Expect(server.Listener.Close()).To(Succeed())
-		server.Listener = listener
-		server.Start()
+		server = serve(server.Listener.Addr().String())
 		defer server.Close()
-		_, err = caller.Do(ctx, call)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(calls.Load()).To(Equal(int64(2)))
-	})
+		for range 2 {
+			_, err = caller.Do(ctx, call)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(calls.Load()).To(Equal(int64(3)))
+	}, Entry("plain", false), Entry("TLS", true))
 
 	It("finds closed connections and unasked bytes", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/platform/rest/written.go
+++ b/internal/platform/rest/written.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http/httptrace"
@@ -66,7 +67,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.obtained = true
-	t.conn, _ = info.Conn.(*countedConn)
+	t.conn = countedOf(info.Conn)
 	if t.conn == nil {
 		return
 	}
@@ -76,6 +77,16 @@
 	}
 }
 
+// countedOf returns the counted connection below TLS, or nil. TLS writes more
+// than the request, which errs on the safe side.
+func countedOf(connection net.Conn) *countedConn {
+	if secure, ok := connection.(*tls.Conn); ok {
+		connection = secure.NetConn()
+	}
+	counted, _ := connection.(*countedConn)
+	return counted
+}
+
 // sent says whether a byte of the failed request may have left. It is false
 // when no connection was obtained, or when nothing was written to it and
 // nothing will be.
