--- a/internal/standin/platform/call.go
+++ b/internal/standin/platform/call.go
@@ -191,6 +191,7 @@
 	if result.status != http.StatusOK {
 		w.Header().Set(rest.HeaderRan, "no")
 	}
+	w.Header().Set("Content-Type", result.kind())
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(result.status)
 	if rule.Kind == fault.Truncated {
@@ -199,6 +200,13 @@
 	_, _ = w.Write(body)
 }
 
+func (r reply) kind() string {
+	if r.raw != nil {
+		return "application/octet-stream"
+	}
+	return "application/json"
+}
+
 func (r reply) bytes() ([]byte, error) {
 	if r.raw != nil {
 		return r.raw, nil
