Place a step on a large fleet without a search for each sample

Engines are now ranked once for each group in a heap, siblings are counted as they start and end, and an attempt is a straggler only if the fastest free engine would beat it.

--- a/internal/rollout/step/assign.go
+++ b/internal/rollout/step/assign.go
@@ -16,7 +16,8 @@
 	Zone    string
 	Version uint64          // weights in force, as the engine reports them
 	Free    int             // generations that it can start
-	Speed   float64         // tokens per second and generation; zero if not known
+	Speed   float64         // tokens per second of one more generation; zero if not known
+	Drag    float64         // share of Speed lost to each further generation that is started now
 	Wait    time.Duration   // before a new generation starts
 	Cold    time.Duration   // to compute a prompt that is not in its cache
 	Warm    map[uint64]bool // prefixes in its cache, as Group.Prefix
@@ -49,6 +50,12 @@
 	siblingsFree   = 4
 )
 
+// candidate is an engine and how many generations this call has started on it.
+type candidate struct {
+	*Engine
+	started int
+}
+
 // Assign returns the generations to start now on engines, which it leaves with
 // what remains free:
 //
@@ -64,29 +71,28 @@
 	}
 	field := l.usable(engines)
 	var all []Work
+	var ranked ranking
 	for _, at := range l.needs(now) {
-		if len(field) == 0 {
-			return all
+		if !ranked.isOf(l.slots[at].group) {
+			ranked = l.rank(at, field)
 		}
-		work, ok := l.place(at, field, now, false)
-		if !ok {
-			continue
+		if ranked.Len() == 0 {
+			break
 		}
-		all = append(all, work)
-		field = slices.DeleteFunc(field, func(e *Engine) bool { return e.Free <= 0 })
+		all = append(all, l.placeRanked(at, &ranked, field, now))
 	}
 	return append(all, l.hedges(field, now)...)
 }
 
 // usable returns the engines whose new samples could be delivered.
-func (l *Ledger) usable(engines []Engine) []*Engine {
-	var usable []*Engine
+func (l *Ledger) usable(engines []Engine) []*candidate {
+	var usable []*candidate
 	for i := range engines {
 		e := &engines[i]
 		if e.Free <= 0 || e.Leaving || !sample.Fresh([]uint64{e.Version}, l.newest, l.state.Bound) {
 			continue
 		}
-		usable = append(usable, e)
+		usable = append(usable, &candidate{Engine: e})
 	}
 	return usable
 }
@@ -123,32 +129,36 @@
 	return length
 }
 
-// place starts a slot on the engine where it is expected to end first.
-func (l *Ledger) place(at int, field []*Engine, now time.Time, hedge bool) (Work, bool) {
-	siblings := l.siblings(l.slots[at].group)
-	var best *Engine
+// place starts a slot on the engine where it is expected to end first, and
+// keeps it from the engine that failed it last if there is another. Beside
+// names the engine of the attempt that a hedge runs beside; it is empty for a
+// first attempt.
+func (l *Ledger) place(at int, field []*candidate, now time.Time, beside string) (Work, bool) {
+	var best *candidate
 	var least time.Duration
 	for _, e := range field {
-		if e.Name == l.slots[at].avoid && len(field) > 1 {
-			continue
-		}
-		if e.Free <= 0 || (hedge && l.runsOn(at, e.Name)) {
+		if e.Free <= 0 || (e.Name == l.slots[at].avoid && len(field) > 1) || (beside != "" && e.Name == beside) {
 			continue
 		}
-		ends := l.ends(at, e) + siblingPenalty*time.Duration(max(0, siblings[e.Name]-siblingsFree))
-		if best == nil || ends < least {
+		if ends := l.cost(at, e); best == nil || ends < least {
 			best, least = e, ends
 		}
 	}
 	if best == nil {
 		return Work{}, false
 	}
-	return l.start(at, best, now, hedge), true
+	return l.start(at, best, now, beside != ""), true
+}
+
+// cost is the expected end on an engine with the penalty for siblings.
+func (l *Ledger) cost(at int, e *candidate) time.Duration {
+	siblings := l.siblings[sibling{l.slots[at].group, e.Name}]
+	return l.ends(at, e) + siblingPenalty*time.Duration(max(0, siblings-siblingsFree))
 }
 
 // ends returns how long a new attempt at a slot is expected to take on an
 // engine.
-func (l *Ledger) ends(at int, e *Engine) time.Duration {
+func (l *Ledger) ends(at int, e *candidate) time.Duration {
 	s := &l.slots[at]
 	rest := l.length(s.group, 0)
 	if s.resume != nil {
@@ -173,42 +183,24 @@
 	return newest - version - bound
 }
 
-func speedOf(e *Engine) float64 {
-	if e.Speed <= 0 {
-		return defaultSpeed
+func speedOf(e *candidate) float64 {
+	speed := e.Speed
+	if speed <= 0 {
+		speed = defaultSpeed
 	}
-	return e.Speed
+	return speed / (1 + e.Drag*float64(e.started))
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// siblings counts the group's running attempts on each engine.
-func (l *Ledger) siblings(group int) map[string]int {
-	counts := map[string]int{}
-	for _, a := range l.running {
-		if l.slots[a.slot].group == group {
-			counts[a.engine]++
-		}
-	}
-	return counts
-}
-
-func (l *Ledger) runsOn(at int, name string) bool {
-	for _, a := range l.running {
-		if a.slot == at && a.engine == name {
-			return true
-		}
-	}
-	return false
-}
-
 // start records an attempt and returns its work. An attempt starts under the
 // version that the engine reports only as a guess; the stream alone labels it.
-func (l *Ledger) start(at int, e *Engine, now time.Time, hedge bool) Work {
+func (l *Ledger) start(at int, e *candidate, now time.Time, hedge bool) Work {
 	s := &l.slots[at]
 	s.attempts++
 	s.running++
 	e.Free--
+	e.started++
 	a := &attempt{id: l.attemptID(s), slot: at, engine: e.Name, hedge: hedge, started: now, moved: now}
 	group := l.plan.Groups[s.group]
 	request := engine.Request{
@@ -221,6 +213,7 @@
 		s.resume = nil
 	}
 	l.running[a.id] = a
+	l.siblings[sibling{s.group, e.Name}]++
 	l.stats.Attempts++
 	return Work{Attempt: a.id, Group: s.group, Index: s.index, Engine: e.Name, Hedge: hedge, Request: request}
 }
--- /dev/null
+++ b/internal/rollout/step/bench_test.go
@@ -0,0 +1,28 @@
+package step_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/hyssopwall/hyssopwall/internal/rollout/step"
+)
+
+// BenchmarkAssign places a whole step of 2,048 samples on 3,800 engines.
+func BenchmarkAssign(b *testing.B) {
+	wanted := plan(256, 8)
+	for b.Loop() {
+		b.StopTimer()
+		l, err := step.New(step.State{ID: wanted.ID, Owner: "h", Epoch: 1}, wanted, step.Policy{}, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		var engines []step.Engine
+		for i := range 3800 {
+			engines = append(engines, step.Engine{Name: fmt.Sprint("e", i), Version: 1, Free: 8, Speed: 70, Drag: 0.2})
+		}
+		b.StartTimer()
+		if n := len(l.Assign(start, engines)); n != 2048 {
+			b.Fatal(n)
+		}
+	}
+}
--- a/internal/rollout/step/explore_test.go
+++ b/internal/rollout/step/explore_test.go
@@ -88,6 +88,7 @@
 func cloneLedger(l *Ledger) *Ledger {
 	c := *l
 	c.slots, c.groups = slices.Clone(l.slots), slices.Clone(l.groups)
+	c.siblings = maps.Clone(l.siblings)
 	c.running, c.chunks, c.held = maps.Clone(l.running), maps.Clone(l.chunks), maps.Clone(l.held)
 	c.history = &History{}
 	return &c
--- a/internal/rollout/step/hedge.go
+++ b/internal/rollout/step/hedge.go
@@ -15,21 +15,28 @@
 // hedges starts second attempts at the slots that hold the step up. A hedge
 // has to be expected to end sooner by the policy's gain, and all hedges of the
 // step stay within its budget of tokens.
-func (l *Ledger) hedges(field []*Engine, now time.Time) []Work {
+func (l *Ledger) hedges(field []*candidate, now time.Time) []Work {
 	if l.policy.HedgeShare < 0 || len(field) == 0 {
 		return nil
 	}
 	budget := l.policy.HedgeShare * l.tokens()
 	var all []Work
+	fastest := 0.0
+	for _, e := range field {
+		fastest = max(fastest, speedOf(e))
+	}
 	for _, s := range l.stragglers(now) {
 		cost := l.length(l.slots[s.slot].group, 0)
+		if float64(s.rest) <= float64(seconds(cost/fastest))*l.policy.HedgeGain {
+			continue
+		}
 		if l.hedged+cost > budget {
 			return all
 		}
 		if !l.gains(s, field) {
 			continue
 		}
-		work, ok := l.place(s.slot, field, now, true)
+		work, ok := l.place(s.slot, field, now, s.engine)
 		if !ok {
 			continue
 		}
@@ -62,24 +69,25 @@
 }
 
 // rest returns how long an attempt is still expected to take at its pace so
-// far. A stuck one is expected to take for ever.
+// far. A stuck one is expected to take for ever; nothing is said of one that
+// has yet to show a pace.
 func (l *Ledger) rest(a *attempt, now time.Time) time.Duration {
 	if now.Sub(a.moved) >= l.policy.Stall {
 		return stalePenalty
 	}
 	age := now.Sub(a.started).Seconds()
-	pace := defaultSpeed
-	if age > 0 && a.tokens > 0 {
-		pace = float64(a.tokens) / age
+	if age <= 0 || a.tokens == 0 {
+		return 0
 	}
+	pace := float64(a.tokens) / age
 	return seconds((l.length(l.slots[a.slot].group, a.tokens) - float64(a.tokens)) / pace)
 }
 
 // gains reports whether some other engine is expected to end the straggler's
 // slot sooner by the policy's gain.
-func (l *Ledger) gains(s straggler, field []*Engine) bool {
+func (l *Ledger) gains(s straggler, field []*candidate) bool {
 	for _, e := range field {
-		if e.Free <= 0 || l.runsOn(s.slot, e.Name) {
+		if e.Free <= 0 || e.Name == s.engine {
 			continue
 		}
 		if float64(l.ends(s.slot, e))*l.policy.HedgeGain < float64(s.rest) {
--- a/internal/rollout/step/ledger.go
+++ b/internal/rollout/step/ledger.go
@@ -24,6 +24,7 @@
 	slots     []slot         // ordered by group and index
 	first     []int          // position of each group's first slot
 	running   map[string]*attempt
+	siblings  map[sibling]int  // running attempts of a group on an engine
 	chunks    map[uint64]Chunk // bytes of committed chunks around base
 	pending   *Commit
 	canceling bool
@@ -59,6 +60,11 @@
 	versions []uint64
 }
 
+type sibling struct {
+	group  int
+	engine string
+}
+
 type groupStat struct {
 	finished, tokens int
 }
@@ -99,7 +105,7 @@
 	}
 	l := &Ledger{
 		state: state, plan: plan, policy: policy.filled(), history: history,
-		running: map[string]*attempt{}, chunks: map[uint64]Chunk{},
+		running: map[string]*attempt{}, siblings: map[sibling]int{}, chunks: map[uint64]Chunk{},
 		groups: make([]groupStat, len(plan.Groups)),
 	}
 	for g, group := range plan.Groups {
@@ -161,6 +167,10 @@
 func (l *Ledger) end(a *attempt) {
 	delete(l.running, a.id)
 	l.slots[a.slot].running--
+	at := sibling{l.slots[a.slot].group, a.engine}
+	if l.siblings[at]--; l.siblings[at] == 0 {
+		delete(l.siblings, at)
+	}
 }
 
 // ordered returns the running attempts in a fixed order, so that decisions
