--- a/internal/rollout/step/complete.go
+++ b/internal/rollout/step/complete.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
@@ -89,11 +91,16 @@
 	if l.slots[l.position(at)].running == 0 {
 		return
 	}
-	for _, a := range l.ordered() {
+	var all []*attempt
+	for _, a := range l.running {
 		if l.slots[a.slot].place == at {
-			l.drop(a, &l.stats.HedgeTokens)
+			all = append(all, a)
 		}
 	}
+	slices.SortFunc(all, func(a, b *attempt) int { return strings.Compare(a.id, b.id) })
+	for _, a := range all {
+		l.drop(a, &l.stats.HedgeTokens)
+	}
 }
 
 // Scored ends the scoring of a won sample. The attempt names the sample, since
--- a/internal/rollout/step/hedge.go
+++ b/internal/rollout/step/hedge.go
@@ -20,16 +20,16 @@
 		return nil
 	}
 	budget := l.policy.HedgeShare * l.tokens()
+	if l.hedged >= budget {
+		return nil
+	}
 	var all []Work
 	fastest := 0.0
 	for _, e := range field {
 		fastest = max(fastest, speedOf(e))
 	}
-	for _, s := range l.stragglers(now) {
+	for _, s := range l.stragglers(now, fastest) {
 		cost := l.length(l.slots[s.slot].group, 0)
-		if float64(s.rest) <= float64(seconds(cost/fastest))*l.policy.HedgeGain {
-			continue
-		}
 		if l.hedged+cost > budget {
 			return all
 		}
@@ -56,15 +56,21 @@
 	return sum
 }
 
-// stragglers returns the attempts that run alone, the longest expected first.
-func (l *Ledger) stragglers(now time.Time) []straggler {
+// stragglers returns the attempts that run alone and that an engine of the
+// fastest speed, in tokens per second, could overtake, the longest expected
+// first.
+func (l *Ledger) stragglers(now time.Time, fastest float64) []straggler {
 	var all []straggler
-	for _, a := range l.ordered() {
-		if l.slots[a.slot].running == 1 {
-			all = append(all, straggler{a, l.rest(a, now)})
+	for _, a := range l.running {
+		rest := l.rest(a, now)
+		anew := seconds(l.length(l.slots[a.slot].group, 0) / fastest)
+		if l.slots[a.slot].running == 1 && float64(rest) > float64(anew)*l.policy.HedgeGain {
+			all = append(all, straggler{a, rest})
 		}
 	}
-	slices.SortStableFunc(all, func(a, b straggler) int { return cmp.Compare(b.rest, a.rest) })
+	slices.SortFunc(all, func(a, b straggler) int {
+		return cmp.Or(cmp.Compare(b.rest, a.rest), cmp.Compare(a.slot, b.slot))
+	})
 	return all
 }
 
--- a/internal/rollout/step/pull.go
+++ b/internal/rollout/step/pull.go
@@ -65,9 +65,9 @@
 		s := &l.slots[l.position(at)]
 		s.done, s.scoring, s.resume = nil, false, nil
 	}
-	for _, a := range l.ordered() {
-		if held[l.slots[a.slot].place] {
-			l.drop(a, &l.stats.HedgeTokens)
+	for i := range l.slots {
+		if held[l.slots[i].place] {
+			l.cancelSlot(l.slots[i].place)
 		}
 	}
 	for at, chunk := range l.chunks {
--- a/internal/rollout/step/query.go
+++ b/internal/rollout/step/query.go
@@ -60,19 +60,19 @@
 	return all
 }
 
-// Remaining returns the tokens expected to be generated until the step is
-// whole.
-func (l *Ledger) Remaining() float64 {
-	sum := 0.0
+// Remaining returns the samples that are not yet finished and the tokens
+// expected to be generated for them.
+func (l *Ledger) Remaining() (samples, tokens int) {
 	for i := range l.slots {
 		if s := &l.slots[i]; s.done == nil && !l.held[s.place] {
-			sum += l.length(s.group, 0)
+			samples++
+			tokens += int(l.length(s.group, 0))
 		}
 	}
 	for _, a := range l.running {
-		sum -= min(float64(a.tokens), l.length(l.slots[a.slot].group, 0))
+		tokens -= min(a.tokens, int(l.length(l.slots[a.slot].group, 0)))
 	}
-	return max(0, sum)
+	return samples, max(0, tokens)
 }
 
 func (l *Ledger) position(at place) int { return l.first[at.group] + at.index }
