entry/queue, entry/route: judge workspaces alike, and by their own waits

Two causes kept the worst-served workspace short under a flood. Homes were chosen by their whole backlog, which is the flooder's at every home, so that a workspace queued at a crowded home while others had room for it. And what a queue had learned of a workspace refused it for good: no answers, no correction; likewise a debt that only a waiting workspace could repay.

Summaries now list the longest waits by workspace, and the choice of a home and of a zone looks at the request's own. The queue judges running times by the answers of all workspaces, lets knowledge fade, tries a lone request, and repays debts of idle workspaces by the rounds that pass.

--- a/internal/entry/compare/fleet.go
+++ b/internal/entry/compare/fleet.go
@@ -48,7 +48,7 @@
 	legs    map[int]*leg
 }
 
-func newFleet(w *world, policy Policy) {
+func newFleet(w *world, policy Policy) *fleet {
 	fl := &fleet{world: w, policy: policy, byName: map[string]*host{}}
 	for i := range w.site.Hosts {
 		h := &host{
@@ -61,6 +61,7 @@
 	fl.assign()
 	fl.schedule()
 	w.arrive = fl.arrive
+	return fl
 }
 
 // assign gives each engine its home and each home its queue.
@@ -113,7 +114,8 @@
 func (fl *fleet) exchange() {
 	now := fl.world.now
 	for _, h := range fl.hosts {
-		s := h.engines.Summarize(now, h.name, fmt.Sprint(h.zone), pool, h.queue.Load().Backlog)
+		load := h.queue.Load()
+		s := h.engines.Summarize(now, h.name, fmt.Sprint(h.zone), pool, route.Queued{Backlog: load.Backlog, Waits: load.Waits})
 		for _, other := range fl.hosts {
 			if other.zone == h.zone {
 				other.picker.Learn(now, s)
@@ -171,7 +173,7 @@
 		}
 	}
 	way := messageTime
-	if zone := route.Spill(now, own, hops); zone != "" {
+	if zone := route.Spill(now, fl.workspace(fi), own, hops); zone != "" {
 		entry = fl.anyOf(zone)
 		way += fl.world.site.Hop
 	}
@@ -179,7 +181,7 @@
 	if fl.policy.Prefix {
 		prefix = prefixesOf(fi.request.group)[0]
 	}
-	name, ok := entry.picker.Pick(now, pool, prefix)
+	name, ok := entry.picker.Pick(now, pool, fl.workspace(fi), prefix)
 	if !ok {
 		fl.finish(fi, attempt.Event{Kind: attempt.EventExpire})
 		return
--- a/internal/entry/compare/home.go
+++ b/internal/entry/compare/home.go
@@ -10,10 +10,7 @@
 
 // enqueue puts a request into the home's queue.
 func (h *host) enqueue(fi *flight) {
-	item := queue.Item{ID: fmt.Sprint(fi.request.id), Tokens: estimate, Value: fi}
-	if h.fleet.policy.Fair {
-		item.Workspace = fmt.Sprint("w", fi.request.workspace)
-	}
+	item := queue.Item{ID: fmt.Sprint(fi.request.id), Workspace: h.fleet.workspace(fi), Tokens: estimate, Value: fi}
 	if h.fleet.policy.Shed {
 		item.Deadline = fi.request.deadline
 	}
@@ -73,8 +70,8 @@
 	h.engines.Release(now, l.engine.name, fmt.Sprint(l.id), route.Outcome{
 		Tokens: e.tokens, Elapsed: now.Sub(l.sent), Failed: !e.whole,
 	})
-	item.Workspace = h.workspace(fi)
-	h.queue.Settle(item, queue.Result{Used: e.tokens, Took: now.Sub(l.sent), Whole: e.whole})
+	item.Workspace = h.fleet.workspace(fi)
+	h.queue.Settle(now, item, queue.Result{Used: e.tokens, Took: now.Sub(l.sent), Whole: e.whole})
 	event := attempt.Event{Kind: attempt.EventAnswer, Leg: l.id}
 	if !e.whole {
 		event = attempt.Event{Kind: attempt.EventBroken, Leg: l.id, Unsent: e.unsent, Budget: h.fleet.mayRetry(fi)}
@@ -142,8 +139,8 @@
 	h.send(fi, id, choice, queue.Item{})
 }
 
-func (h *host) workspace(fi *flight) string {
-	if h.fleet.policy.Fair {
+func (fl *fleet) workspace(fi *flight) string {
+	if fl.policy.Fair {
 		return fmt.Sprint("w", fi.request.workspace)
 	}
 	return ""
--- a/internal/entry/queue/pop.go
+++ b/internal/entry/queue/pop.go
@@ -21,7 +21,7 @@
 			continue
 		}
 		head := f.items[0]
-		if q.isHopeless(*head, now) {
+		if q.isHopeless(*head, now, q.waiting-1) {
 			shed = append(shed, q.shedOf(f, q.cut(f, 0), ReasonDeadline))
 			continue
 		}
@@ -38,6 +38,7 @@
 }
 
 func (q *Queue) serve(now time.Time, f *flow, head *Item) {
+	f.served = now
 	f.credit -= head.charged
 	f.used += int64(head.charged)
 	q.cut(f, 0)
--- a/internal/entry/queue/push.go
+++ b/internal/entry/queue/push.go
@@ -11,11 +11,12 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	f := q.flowOf(item.Workspace)
-	item.charged = max(1, int(f.ratio*float64(item.Tokens)))
+	q.repay(f)
+	item.charged = max(1, int(q.ratioOf(now, f)*float64(item.Tokens)))
 	if q.closed {
 		return nil, &RefusedError{ID: item.ID, Reason: ReasonClosed, After: minAfter}
 	}
-	if wait := q.waitOf(f, item.Priority); q.isHopeless(item, now.Add(wait)) {
+	if wait := q.waitOf(f, item.Priority); q.isHopeless(item, now.Add(wait), q.waiting) {
 		return nil, &RefusedError{ID: item.ID, Reason: ReasonDeadline, After: clampAfter(wait)}
 	}
 	if q.waiting >= q.places() {
@@ -46,7 +47,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.take(func(item *Item) string {
-		if q.isHopeless(*item, now) {
+		if q.isHopeless(*item, now, q.waiting-1) {
 			return ReasonDeadline
 		}
 		return ""
@@ -73,12 +74,12 @@
 // Settle charges the difference between the expected and the true tokens of a
 // request that Pop returned (rule 2), and learns from a whole answer what later
 // ones take.
-func (q *Queue) Settle(item Item, result Result) {
+func (q *Queue) Settle(now time.Time, item Item, result Result) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	f := q.flowOf(item.Workspace)
 	if result.Whole {
-		f.learn(item, result)
+		q.learn(now, f, item, result)
 	}
 	extra := result.Used - item.charged
 	f.credit -= extra
@@ -93,7 +94,7 @@
 	if q.flows == nil {
 		q.flows = make(map[string]*flow)
 	}
-	f := &flow{name: workspace, weight: q.weight(workspace), ratio: 1}
+	f := &flow{name: workspace, weight: q.weight(workspace)}
 	q.flows[workspace] = f
 	return f
 }
@@ -116,12 +117,19 @@
 	return int(int64(a.order) - int64(b.order))
 }
 
-// join lets a workspace wait its turn behind those in the ring. Rounds that
-// passed while it was idle repay a debt but give no credit (rule 2).
-func (q *Queue) join(f *flow) {
+// repay lets the rounds that passed while a workspace was idle repay its debt,
+// but give no credit (rule 2).
+func (q *Queue) repay(f *flow) {
+	if len(f.items) > 0 {
+		return
+	}
 	repaid := int64(q.round-f.round) * int64(q.quantum()*f.weight)
 	f.credit = int(min(0, int64(f.credit)+repaid))
 	f.round = q.round
+}
+
+// join lets a workspace wait its turn behind those in the ring.
+func (q *Queue) join(f *flow) {
 	q.ring = slices.Insert(q.ring, q.at, f)
 	q.at++
 	if q.at >= len(q.ring) {
--- a/internal/entry/queue/queue.go
+++ b/internal/entry/queue/queue.go
@@ -12,8 +12,11 @@
 //     when the request ends. Credit may thus be negative; a debt outlives an
 //     idle spell, and rounds that pass meanwhile repay it. A credit does not.
 //  3. Inside a workspace a higher priority runs first, then the earlier.
-//  4. A request takes as long as the slower past answers of its workspace. One
-//     whose deadline can't be met at the rate of its workspace is
+//  4. The running time of a request is judged by that of the slower past
+//     answers of all workspaces, so that all are judged alike. Who is refused
+//     gets no answers that could correct an estimate. What was learned therefore
+//     fades without answers, a workspace without service is judged by the mean,
+//     and a lone request is tried. A request whose deadline can't be met at the rate of its workspace is
 //     refused on arrival; one that becomes hopeless while it waits is shed.
 //     Either is final at once, and nothing of it ran.
 //  5. A full queue takes a request of a workspace below its fair part of the
@@ -107,6 +110,8 @@
 	waiting int
 	order   uint64
 	rate    drain
+	pace    estimate // seconds of running time for each token declared
+	ratio   average  // tokens used for each one declared, of all workspaces
 	closed  bool
 }
 
@@ -120,12 +125,12 @@
 	items   []*Item // ordered by rule 3
 	backlog int     // expected tokens of items
 	credit  int
-	marked  int     // credit before the Pop under way
-	round   uint64  // when it last left or joined the ring
-	blocked uint64  // the last Pop that found its head unacceptable
-	used    int64   // tokens charged in all
-	ratio   float64 // tokens used for each one declared
-	took    estimate
+	marked  int       // credit before the Pop under way
+	round   uint64    // when it last left or joined the ring
+	blocked uint64    // the last Pop that found its head unacceptable
+	used    int64     // tokens charged in all
+	served  time.Time // of the last Pop
+	ratio   average   // tokens used for each one declared
 }
 
 func (q *Queue) quantum() int {
--- a/internal/entry/queue/queue_test.go
+++ b/internal/entry/queue/queue_test.go
@@ -68,7 +68,7 @@
 	case s.Pop > 0:
 		Expect(p.pop(now, s)).To(Equal(s.Want), s.Note)
 	case s.Settle != "":
-		p.q.Settle(p.popped[s.Settle], queue.Result{Used: s.Used, Took: time.Duration(s.Took) * time.Millisecond, Whole: s.Whole})
+		p.q.Settle(now, p.popped[s.Settle], queue.Result{Used: s.Used, Took: time.Duration(s.Took) * time.Millisecond, Whole: s.Whole})
 	case s.Sweep:
 		p.note(p.q.Sweep(now))
 	case s.Close:
@@ -183,7 +183,7 @@
 			t.Fatal("queue ran dry")
 		}
 		used := item.Tokens * factor[item.Workspace]
-		q.Settle(item, queue.Result{Used: used, Whole: true})
+		q.Settle(now, item, queue.Result{Used: used, Whole: true})
 		got[item.Workspace] += used
 	}
 	return got, weights, most
@@ -220,7 +220,7 @@
 			end(shed)
 			if ok {
 				ends[got.ID]++
-				q.Settle(got, queue.Result{Used: got.Tokens / 2, Took: time.Second, Whole: true})
+				q.Settle(now, got, queue.Result{Used: got.Tokens / 2, Took: time.Second, Whole: true})
 			}
 		case 3:
 			if q.Remove(item.Workspace, item.ID) {
--- a/internal/entry/queue/wait.go
+++ b/internal/entry/queue/wait.go
@@ -1,7 +1,6 @@
 package queue
 
 import (
-	"math"
 	"time"
 )
 
@@ -11,11 +10,12 @@
 	maxAfter = time.Minute
 )
 
-// Load describes the queue for summaries.
+// Load describes the queue for summaries. Waits holds the expected wait of a
+// new request of each workspace that waits here.
 type Load struct {
 	Waiting int // requests
 	Backlog int // expected tokens
-	Wait    time.Duration
+	Waits   map[string]time.Duration
 }
 
 // Usage is what a workspace has been charged in all, in tokens, and what it
@@ -26,16 +26,15 @@
 	Backlog int
 }
 
-// Load returns the length of the queue and the expected wait of a new request
-// of a workspace without a backlog.
+// Load returns the length of the queue and the waits in it.
 func (q *Queue) Load() Load {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	load := Load{Waiting: q.waiting}
+	load := Load{Waiting: q.waiting, Waits: make(map[string]time.Duration, len(q.ring))}
 	for _, f := range q.ring {
 		load.Backlog += f.backlog
+		load.Waits[f.name] = q.waitOf(f, f.items[len(f.items)-1].Priority)
 	}
-	load.Wait = q.timeFor(float64(load.Backlog))
 	return load
 }
 
@@ -90,75 +89,56 @@
 }
 
 // isHopeless says whether a request that starts at the given time would end
-// after its deadline.
-func (q *Queue) isHopeless(item Item, start time.Time) bool {
+// after its deadline. others is the number of other requests that wait: without
+// any, the request costs nobody a place and is tried in any case, so that an
+// estimate that is too high can't keep a home idle (rule 4).
+func (q *Queue) isHopeless(item Item, start time.Time, others int) bool {
 	if item.Deadline.IsZero() {
 		return false
 	}
-	return start.Add(q.takes(item)).After(item.Deadline)
+	if others > 0 {
+		start = start.Add(q.takes(item, start))
+	}
+	return start.After(item.Deadline)
 }
 
 // takes estimates how long a request runs (rule 4).
-func (q *Queue) takes(item Item) time.Duration {
-	if f := q.flows[item.Workspace]; f != nil && f.took.known {
-		return f.took.slow()
-	}
-	if q.config.MinSpeed <= 0 {
+func (q *Queue) takes(item Item, now time.Time) time.Duration {
+	seconds := 0.0
+	switch {
+	case q.pace.count >= leastKnown:
+		seconds = float64(max(1, item.Tokens)) * q.pace.get(now, q.deviations(item, now))
+	case q.config.MinSpeed > 0:
+		seconds = float64(item.charged) / q.config.MinSpeed
+	}
+	return time.Duration(min(seconds, maxTakes.Seconds()) * float64(time.Second))
+}
+
+// deviations returns by how many deviations above the mean a request is judged.
+func (q *Queue) deviations(item Item, now time.Time) float64 {
+	if f := q.flows[item.Workspace]; f == nil || now.Sub(f.served) > probeAfter {
 		return 0
 	}
-	return time.Duration(float64(item.charged) / q.config.MinSpeed * float64(time.Second))
+	return slowSpread
 }
 
 func clampAfter(wait time.Duration) time.Duration { return min(max(wait, minAfter), maxAfter) }
 
-// The weights of one answer in what is learned of a workspace. Requests are
-// expected to take the mean and takesSpread mean deviations.
+// A sample of the drain rate spans at least drainWindow and drainItems, since a
+// home with one engine serves less than a request a second.
 const (
-	ratioGain   = 0.05
-	tookGain    = 0.05
-	takesSpread = 2
+	drainWindow = time.Second
+	drainItems  = 24
+	drainGain   = 0.3 // weight of a new sample
 )
 
-// estimate is a running mean of times in seconds and of their deviation from it.
-type estimate struct {
-	mean, spread float64
-	known        bool
-}
-
-func (e *estimate) add(took time.Duration) {
-	if !e.known {
-		e.mean, e.spread, e.known = took.Seconds(), took.Seconds()/2, true
-		return
-	}
-	e.spread += tookGain * (math.Abs(took.Seconds()-e.mean) - e.spread)
-	e.mean += tookGain * (took.Seconds() - e.mean)
-}
-
-func (e *estimate) slow() time.Duration {
-	return time.Duration((e.mean + takesSpread*e.spread) * float64(time.Second))
-}
-
-func (f *flow) learn(item Item, result Result) {
-	if item.Tokens > 0 {
-		f.ratio += ratioGain * (float64(result.Used)/float64(item.Tokens) - f.ratio)
-	}
-	if result.Took > 0 {
-		f.took.add(result.Took)
-	}
-}
-
-// drainWindow is the time over which the drain rate is sampled.
-const drainWindow = time.Second
-
-// drainGain is the weight of a new sample of the drain rate.
-const drainGain = 0.3
-
 // drain measures the rate in tokens a second at which a queue that is never
 // empty is served. Spells with an empty queue say nothing about capacity.
 type drain struct {
 	value  float64
 	since  time.Time
 	tokens int
+	items  int
 }
 
 func (d *drain) add(now time.Time, tokens int, busy bool) {
@@ -167,12 +147,13 @@
 		return
 	}
 	if d.since.IsZero() {
-		d.since, d.tokens = now, 0
+		d.since, d.tokens, d.items = now, 0, 0
 		return
 	}
 	d.tokens += tokens
+	d.items++
 	elapsed := now.Sub(d.since)
-	if elapsed < drainWindow {
+	if elapsed < drainWindow || d.items < drainItems {
 		return
 	}
 	sample := max(0, float64(d.tokens)) / elapsed.Seconds()
@@ -180,7 +161,7 @@
 		d.value = sample
 	}
 	d.value += drainGain * (sample - d.value)
-	d.since, d.tokens = now, 0
+	d.since, d.tokens, d.items = now, 0, 0
 }
 
 // correct applies the true cost of a request that was counted as expected.
--- a/internal/entry/route/pick.go
+++ b/internal/entry/route/pick.go
@@ -18,7 +18,9 @@
 //  2. The first of the two best ranked whose load is within loadBound of the
 //     mean gets the request; a popular prefix thus spreads over homes.
 //  3. If both are above the bound, the less loaded of all homes gets it.
-//  4. Requests sent since a home's last summary are added to its load.
+//  4. A home's load is the part of its slots in use, requests sent since its
+//     last summary included, and the wait of the request's own workspace there.
+//     What others have waiting does not count: the home's queue is fair.
 //  5. A home without a summary for summaryExpiry is not chosen.
 const (
 	loadBound     = 1.25
@@ -70,30 +72,33 @@
 // Pick returns the home for a request of a pool and counts the request there.
 // prefix is the hash of the start of its prompt, zero for none. Hosts in avoid
 // are not chosen. It returns false when no home has capacity.
-func (p *Picker) Pick(now time.Time, pool string, prefix uint64, avoid ...string) (string, bool) {
+func (p *Picker) Pick(now time.Time, pool, workspace string, prefix uint64, avoid ...string) (string, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	live := make([]*home, 0, 32)
+	live := make([]candidate, 0, 32)
 	for _, h := range p.pools[pool] {
 		if h.Slots > 0 && now.Sub(h.At) <= summaryExpiry && !slices.Contains(avoid, h.Host) {
-			live = append(live, h)
+			live = append(live, candidate{home: h, load: h.load(workspace)})
 		}
 	}
 	if len(live) == 0 {
 		return "", false
 	}
-	chosen := pick(live, prefix)
+	chosen := pick(live, prefix).home
 	chosen.sent++
 	return chosen.Host, true
 }
 
-// Total sums the live summaries of a pool into one, for other zones.
+// Total sums the live summaries of a pool into one, for other zones. The wait
+// of a workspace is that of the home where it waits least, since the choice
+// would take the request there.
 func (p *Picker) Total(now time.Time, zone, pool string) Summary {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	sum := Summary{Host: zone, Zone: zone, Pool: pool, At: now}
+	var least []Wait
 	for _, h := range p.pools[pool] {
-		if now.Sub(h.At) > summaryExpiry {
+		if now.Sub(h.At) > summaryExpiry || h.Slots == 0 {
 			continue
 		}
 		sum.Slots += h.Slots
@@ -101,35 +106,68 @@
 		sum.Backlog += h.Backlog
 		sum.Rate += h.Rate
 		sum.Newest = max(sum.Newest, h.Newest)
+		if sum.Slots == h.Slots {
+			least = slices.Clone(h.Waits)
+			continue
+		}
+		least = leastWaits(least, h.Waits)
 	}
+	sum.Waits = least
 	return sum
 }
 
-func pick(live []*home, prefix uint64) *home {
+// leastWaits keeps the workspaces that wait at both, with the shorter wait.
+func leastWaits(a, b []Wait) []Wait {
+	kept := a[:0]
+	for _, w := range a {
+		at := slices.IndexFunc(b, func(other Wait) bool { return other.Workspace == w.Workspace })
+		if at >= 0 {
+			w.Units = min(w.Units, b[at].Units)
+			kept = append(kept, w)
+		}
+	}
+	return kept
+}
+
+// candidate is a home with its load for the request at hand.
+type candidate struct {
+	*home
+	load float64
+}
+
+// load applies rule 4.
+func (h *home) load(workspace string) float64 {
+	return float64(h.Running+h.sent)/float64(h.Slots) + h.WaitOf(workspace).Seconds()
+}
+
+func pick(live []candidate, prefix uint64) candidate {
 	if prefix == 0 {
 		return leastLoaded(live)
 	}
 	bound := max(loadFloor, loadBound*meanLoad(live))
 	first, second := rank(live, prefix)
-	for _, h := range []*home{first, second} {
-		if h != nil && h.fill(h.sent) <= bound {
-			return h
-		}
+	switch {
+	case live[first].load <= bound:
+		return live[first]
+	case second >= 0 && live[second].load <= bound:
+		return live[second]
 	}
 	return leastLoaded(live)
 }
 
-// rank returns the two best homes for a prefix (rule 1).
-func rank(live []*home, prefix uint64) (first, second *home) {
+// rank returns the places of the two best homes for a prefix (rule 1). The
+// second is negative for a lone home.
+func rank(live []candidate, prefix uint64) (first, second int) {
+	first, second = -1, -1
 	best, next := math.Inf(-1), math.Inf(-1)
-	for _, h := range live {
+	for i, h := range live {
 		score := weightedScore(h.hash^prefix, float64(h.Slots))
 		switch {
 		case score > best:
 			second, next = first, best
-			first, best = h, score
+			first, best = i, score
 		case score > next:
-			second, next = h, score
+			second, next = i, score
 		}
 	}
 	return first, second
@@ -149,16 +187,16 @@
 	return x ^ x>>31
 }
 
-func meanLoad(live []*home) float64 {
+func meanLoad(live []candidate) float64 {
 	sum := 0.0
 	for _, h := range live {
-		sum += h.fill(h.sent)
+		sum += h.load
 	}
 	return sum / float64(len(live))
 }
 
-func leastLoaded(live []*home) *home {
-	return slices.MinFunc(live, func(a, b *home) int {
-		return cmp.Or(cmp.Compare(a.fill(a.sent), b.fill(b.sent)), cmp.Compare(a.Host, b.Host))
+func leastLoaded(live []candidate) candidate {
+	return slices.MinFunc(live, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.Host, b.Host))
 	})
 }
--- a/internal/entry/route/route_test.go
+++ b/internal/entry/route/route_test.go
@@ -106,7 +106,8 @@
 // homeCase gives the homes of a pool and how picks fall on them.
 type homeCase struct {
 	Homes  []route.Summary
-	Age    map[string]int // milliseconds since a home's summary
+	Waits  map[string]map[string]int // milliseconds by home and workspace
+	Age    map[string]int            // milliseconds since a home's summary
 	Prefix uint64
 	Avoid  []string
 	Picks  int
@@ -129,6 +130,7 @@
 			var p route.Picker
 			for _, s := range c.Data.Homes {
 				s.Pool = "m"
+				s.SetWaits(c.Data.waits(s.Host))
 				p.Learn(now.Add(-time.Duration(c.Data.Age[s.Host])*time.Millisecond), s)
 			}
 			got := map[string]int{}
@@ -137,7 +139,7 @@
 				if prefix == 0 {
 					prefix = uint64(i)*0x9e3779b97f4a7c15 + 1
 				}
-				home, _ := p.Pick(now, "m", prefix, c.Data.Avoid...)
+				home, _ := p.Pick(now, "m", "w", prefix, c.Data.Avoid...)
 				got[home]++
 			}
 			for home, least := range c.Data.Least {
@@ -187,6 +189,14 @@
 	})
 })
 
+func (c homeCase) waits(home string) map[string]time.Duration {
+	waits := map[string]time.Duration{}
+	for workspace, wait := range c.Waits[home] {
+		waits[workspace] = time.Duration(wait) * time.Millisecond
+	}
+	return waits
+}
+
 func spill(now time.Time, c homeCase) {
 	if c.Spill == nil {
 		return
@@ -195,11 +205,12 @@
 	var hops []route.Hop
 	for _, s := range c.Homes {
 		s.At = now.Add(-time.Duration(c.Age[s.Host]) * time.Millisecond)
+		s.SetWaits(c.waits(s.Host))
 		if s.Zone == c.Spill.Own {
 			own = s
 			continue
 		}
 		hops = append(hops, route.Hop{Total: s, Cost: time.Duration(c.Spill.Hops[s.Zone]) * time.Millisecond})
 	}
-	Expect(route.Spill(now, own, hops)).To(Equal(c.Spill.Wants), c.Note)
+	Expect(route.Spill(now, "w", own, hops)).To(Equal(c.Spill.Wants), c.Note)
 }
--- a/internal/entry/route/spill.go
+++ b/internal/entry/route/spill.go
@@ -18,16 +18,17 @@
 // spillMargin is the least gain for which a request leaves its zone.
 const spillMargin = 20 * time.Millisecond
 
-// Spill returns the availability zone that a request should go to, empty to
-// stay. A request leaves only when the wait at home exceeds the wait there and
-// the hop together; zones without news for summaryExpiry don't count.
-func Spill(now time.Time, own Summary, hops []Hop) string {
-	best, target := own.Wait()-spillMargin, ""
+// Spill returns the availability zone that a request of a workspace should go
+// to, empty to stay. A request leaves only when its wait at home exceeds the
+// wait there and the hop together; zones without news for summaryExpiry don't
+// count.
+func Spill(now time.Time, workspace string, own Summary, hops []Hop) string {
+	best, target := own.WaitOf(workspace)-spillMargin, ""
 	for _, hop := range hops {
 		if now.Sub(hop.Total.At) > summaryExpiry || hop.Total.Slots == 0 {
 			continue
 		}
-		if cost := hop.Total.Wait() + hop.Cost; cost < best {
+		if cost := hop.Total.WaitOf(workspace) + hop.Cost; cost < best {
 			best, target = cost, hop.Total.Zone
 		}
 	}
--- a/internal/entry/route/summary.go
+++ b/internal/entry/route/summary.go
@@ -1,9 +1,13 @@
 package route
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
 )
 
@@ -20,9 +24,18 @@
 	Rate    float32 `cbor:"7,keyasint"` // tokens a second of all its backend servers
 	Newest  uint64  `cbor:"8,keyasint,omitempty"`
 
+	Waits []Wait `cbor:"9,keyasint,omitempty"` // the longest, longest first
+
 	At time.Time `cbor:"-"` // when it arrived here
 }
 
+// Wait is the expected wait of a workspace that has requests waiting.
+type Wait struct {
+	_         struct{} `cbor:",toarray"`
+	Workspace uint32
+	Units     uint16 // of waitUnit
+}
+
 // Check implements wire.Message.
 func (s Summary) Check() error {
 	fail := func(field, reason string) error {
@@ -37,34 +50,60 @@
 		return fail("Slots", "or a count is negative")
 	case s.Rate < 0 || math.IsNaN(float64(s.Rate)) || math.IsInf(float64(s.Rate), 0):
 		return fail("Rate", "is not a rate")
+	case len(s.Waits) > maxWaits:
+		return fail("Waits", "is too long")
 	}
 	return nil
 }
 
-// Wait returns the expected wait of a new request in the home's queue. It is
-// maxWait for a home without capacity.
-func (s Summary) Wait() time.Duration {
+// WaitOf returns the expected wait of a new request of a workspace. It is
+// maxWait for a home without capacity. A workspace that is not listed waits for
+// nobody, or less than the listed ones when the list is full.
+func (s Summary) WaitOf(workspace string) time.Duration {
 	if s.Slots == 0 {
 		return maxWait
 	}
-	if s.Backlog == 0 {
+	if len(s.Waits) == 0 {
 		return 0
 	}
-	if s.Rate <= 0 {
-		return maxWait
+	hash := hashOf(workspace)
+	least := maxWait
+	for _, w := range s.Waits {
+		if w.Workspace == hash {
+			return w.duration()
+		}
+		least = min(least, w.duration())
+	}
+	if len(s.Waits) < maxWaits {
+		return 0
 	}
-	return min(maxWait, time.Duration(float64(s.Backlog)/float64(s.Rate)*float64(time.Second)))
+	return least
 }
 
-// maxWait stands for a wait without a known end.
-const maxWait = time.Minute
-
-// fill returns the part of the home's slots in use, above one when requests
-// wait. extra counts requests sent there since the summary.
-func (s Summary) fill(extra int) float64 {
-	if s.Slots == 0 {
-		return math.Inf(1)
+// SetWaits lists the longest waits.
+func (s *Summary) SetWaits(waits map[string]time.Duration) {
+	s.Waits = make([]Wait, 0, len(waits))
+	for workspace, wait := range waits {
+		units := min(wait, maxWait) / waitUnit
+		s.Waits = append(s.Waits, Wait{Workspace: hashOf(workspace), Units: uint16(units)})
 	}
-	load := float64(s.Running+extra) / float64(s.Slots)
-	return load + s.Wait().Seconds()
+	slices.SortFunc(s.Waits, func(a, b Wait) int {
+		return cmp.Or(cmp.Compare(b.Units, a.Units), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	s.Waits = s.Waits[:min(len(s.Waits), maxWaits)]
 }
+
+func (w Wait) duration() time.Duration { return time.Duration(w.Units) * waitUnit }
+
+// hashOf shortens a workspace's name for summaries. Two workspaces that share a
+// hash share a wait, which costs accuracy only.
+func hashOf(workspace string) uint32 { return uint32(xxhash.Sum64String(workspace)) }
+
+const (
+	// maxWait stands for a wait without a known end.
+	maxWait = time.Minute
+	// waitUnit is the resolution of waits in summaries.
+	waitUnit = 10 * time.Millisecond
+	// maxWaits bounds the workspaces listed in a summary.
+	maxWaits = 8
+)
--- a/internal/entry/route/view.go
+++ b/internal/entry/route/view.go
@@ -60,12 +60,19 @@
 	return e.gaps
 }
 
-// Summarize returns the summary of a pool for other hosts; backlog is the
-// expected tokens waiting in the home's queue.
-func (e *Engines) Summarize(now time.Time, host, zone, pool string, backlog int) Summary {
+// Queued is what waits in the home's queue: expected tokens, and the expected
+// wait of a new request of each workspace that waits.
+type Queued struct {
+	Backlog int
+	Waits   map[string]time.Duration
+}
+
+// Summarize returns the summary of a pool for other hosts.
+func (e *Engines) Summarize(now time.Time, host, zone, pool string, queued Queued) Summary {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	sum := Summary{Host: host, Zone: zone, Pool: pool, Backlog: backlog, At: now}
+	sum := Summary{Host: host, Zone: zone, Pool: pool, Backlog: queued.Backlog, At: now}
+	sum.SetWaits(queued.Waits)
 	for _, s := range e.servers {
 		if s.Pool != pool || s.leaving || s.held || now.Before(s.open) {
 			continue
