entry/route: draw two homes instead of taking the least loaded

Every host sent the requests that left their preferred homes to the one home that looked least loaded, until the next summaries a second later. The less loaded of two homes drawn at random spreads them.

--- a/internal/entry/compare/fleet.go
+++ b/internal/entry/compare/fleet.go
@@ -53,7 +53,7 @@
 	for i := range w.site.Hosts {
 		h := &host{
 			fleet: fl, name: fmt.Sprintf("h%02d", i), zone: i % w.site.Zones,
-			fakes: map[string]*fake{}, totals: make([]route.Summary, w.site.Zones),
+			picker: route.Picker{Seed: uint64(i) << 32}, fakes: map[string]*fake{}, totals: make([]route.Summary, w.site.Zones),
 		}
 		fl.hosts = append(fl.hosts, h)
 		fl.byName[h.name] = h
--- a/internal/entry/route/pick.go
+++ b/internal/entry/route/pick.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -17,7 +16,9 @@
 //     hold them in their caches, without any message about caches.
 //  2. The first of the two best ranked whose load is within loadBound of the
 //     mean gets the request; a popular prefix thus spreads over homes.
-//  3. If both are above the bound, the less loaded of all homes gets it.
+//  3. If both are above the bound, the less loaded of two homes drawn at random
+//     gets it. Taking the least loaded of all would send the requests of every
+//     host to one home until the next summaries.
 //  4. A home's load is the part of its slots in use, requests sent since its
 //     last summary included, and the wait of the request's own workspace there.
 //     What others have waiting does not count: the home's queue is fair.
@@ -29,9 +30,13 @@
 )
 
 // Picker chooses among home hosts from their summaries. The zero value knows
-// none. Every method is safe for concurrent use.
+// none. Seed varies its draws and differs between hosts. Every method is safe
+// for concurrent use.
 type Picker struct {
+	Seed uint64
+
 	mu    sync.Mutex
+	draws uint64
 	pools map[string][]*home
 }
 
@@ -84,7 +89,8 @@
 	if len(live) == 0 {
 		return "", false
 	}
-	chosen := pick(live, prefix).home
+	p.draws++
+	chosen := pick(live, prefix, mix(p.Seed+p.draws)).home
 	chosen.sent++
 	return chosen.Host, true
 }
@@ -140,9 +146,9 @@
 	return float64(h.Running+h.sent)/float64(h.Slots) + h.WaitOf(workspace).Seconds()
 }
 
-func pick(live []candidate, prefix uint64) candidate {
+func pick(live []candidate, prefix, draw uint64) candidate {
 	if prefix == 0 {
-		return leastLoaded(live)
+		return lessLoaded(live, draw)
 	}
 	bound := max(loadFloor, loadBound*meanLoad(live))
 	first, second := rank(live, prefix)
@@ -152,7 +158,7 @@
 	case second >= 0 && live[second].load <= bound:
 		return live[second]
 	}
-	return leastLoaded(live)
+	return lessLoaded(live, draw)
 }
 
 // rank returns the places of the two best homes for a prefix (rule 1). The
@@ -195,8 +201,12 @@
 	return sum / float64(len(live))
 }
 
-func leastLoaded(live []candidate) candidate {
-	return slices.MinFunc(live, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.Host, b.Host))
-	})
+// lessLoaded applies rule 3.
+func lessLoaded(live []candidate, draw uint64) candidate {
+	n := uint64(len(live))
+	a, b := live[draw%n], live[(draw>>32)%n]
+	if b.load < a.load {
+		return b
+	}
+	return a
 }
