Take the accepted document from peers and few watchers

Cause: every host watched the platform for the document; 390 waiting watches say the same, and a host cut off from the platform had only a crude exchange.

Change: the host uses the spread duty: two watchers a zone by rank, deltas between peers, a kept copy in the data folder. A race of two operators now shows as a conflict that names the other. The hops to other zones come from one picker per zone, so that waits of workspaces are merged in one place.

--- a/internal/entry/route/pick.go
+++ b/internal/entry/route/pick.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
--- a/internal/host/command/submit.go
+++ b/internal/host/command/submit.go
@@ -14,6 +14,8 @@
 	output
 	File     string `arg:"" type:"existingfile" help:"The document."`
 	Platform string `required:"" help:"Address of the platform, http://IP:port."`
+	By       string `required:"" help:"Who submits it, for the audit trail."`
+	Base     uint64 `help:"Version that the document was made from; without it, the one accepted now."`
 }
 
 // submitted is what submit shows.
@@ -30,7 +32,16 @@
 	if _, err := document.Decode(c.File, body); err != nil {
 		return err
 	}
-	version, err := server.Accept(ctx, &object.Client{Base: c.Platform}, body)
+	store := &object.Client{Base: c.Platform}
+	base := c.Base
+	if base == 0 {
+		current, err := server.Accepted(ctx, store)
+		if err != nil {
+			return err
+		}
+		base = current.Version
+	}
+	version, err := server.Submit(ctx, store, c.By, base, body)
 	if err != nil {
 		return err
 	}
--- a/internal/host/demo/run.go
+++ b/internal/host/demo/run.go
@@ -250,7 +250,7 @@
 		return
 	}
 	began := time.Now()
-	if _, err := server.Accept(ctx, r.site.Store, body); err != nil {
+	if _, err := server.Submit(ctx, r.site.Store, "demo", 1, body); err != nil {
 		return
 	}
 	r.say("key of %s withdrawn", r.deployment.Withdraw)
--- a/internal/host/demo/site.go
+++ b/internal/host/demo/site.go
@@ -112,7 +112,7 @@
 			s.Platform.Publish(pool.Name)
 		}
 	}
-	if _, err := server.Accept(ctx, s.Store, s.options.Document); err != nil {
+	if _, err := server.Submit(ctx, s.Store, "demo", 0, s.options.Document); err != nil {
 		return err
 	}
 	return s.order(ctx)
--- a/internal/host/dispatch/choose.go
+++ b/internal/host/dispatch/choose.go
@@ -20,10 +20,10 @@
 
 // choose returns where a task goes. Hosts in avoid are not chosen.
 func (d *Dispatcher) choose(task forward.Task, avoid []string) (place, bool) {
-	if zone, ok := d.spill(task.Pool, avoid); ok {
+	if zone, ok := d.spill(task, avoid); ok {
 		return zone, true
 	}
-	host, ok := d.config.Picker.Pick(d.config.Now(), task.Pool, prefixOf(task), avoid...)
+	host, ok := d.config.Picker.Pick(d.config.Now(), task.Pool, task.Workspace, prefixOf(task), avoid...)
 	if !ok {
 		return d.anyZone(task.Pool, avoid)
 	}
@@ -38,13 +38,13 @@
 }
 
 // spill chooses another zone when its wait and the hop beat the wait here.
-func (d *Dispatcher) spill(pool string, avoid []string) (place, bool) {
+func (d *Dispatcher) spill(task forward.Task, avoid []string) (place, bool) {
 	now := d.config.Now()
-	own := d.config.Picker.Total(now, d.config.Zone, pool)
+	own := d.config.Picker.Total(now, d.config.Zone, task.Pool)
 	if own.Slots == 0 {
 		return place{}, false
 	}
-	zone := route.Spill(now, own, d.config.Fleet.Hops(pool))
+	zone := route.Spill(now, task.Workspace, own, d.config.Fleet.Hops(task.Pool))
 	if zone == "" {
 		return place{}, false
 	}
@@ -92,7 +92,7 @@
 		return d.config.Local.Run(ctx, task, sink)
 	}
 	task.Relay = false
-	host, ok := d.config.Picker.Pick(d.config.Now(), task.Pool, prefixOf(task))
+	host, ok := d.config.Picker.Pick(d.config.Now(), task.Pool, task.Workspace, prefixOf(task))
 	if !ok {
 		return &forward.Error{Code: forward.CodeNone, Message: "no home of " + task.Pool + " in this zone", Ran: "no"}
 	}
--- a/internal/host/home/run.go
+++ b/internal/host/home/run.go
@@ -85,7 +85,7 @@
 	select {
 	case place := <-j.start:
 		h.engines.Release(h.config.Now(), place.choice.Server, j.task.ID, route.Outcome{})
-		q.Settle(place.item, queue.Result{})
+		q.Settle(h.config.Now(), place.item, queue.Result{})
 		h.pump(j.task.Pool, q)
 	case <-j.shed:
 	}
@@ -163,7 +163,7 @@
 	}
 	h.engines.Release(now, choice.Server, j.task.ID, outcome)
 	q := h.queueOf(j.task.Pool)
-	q.Settle(place.item, queue.Result{Used: tokens, Took: now.Sub(began), Whole: failure == nil})
+	q.Settle(now, place.item, queue.Result{Used: tokens, Took: now.Sub(began), Whole: failure == nil})
 	h.pump(j.task.Pool, q)
 	if failure == nil {
 		return nil
--- a/internal/host/home/servers.go
+++ b/internal/host/home/servers.go
@@ -164,8 +164,9 @@
 	now := h.config.Now()
 	var all []route.Summary
 	for pool := range h.pools() {
-		backlog := h.queueOf(pool).Load().Backlog
-		all = append(all, h.engines.Summarize(now, h.config.Host, h.config.Zone, pool, backlog))
+		load := h.queueOf(pool).Load()
+		queued := route.Queued{Backlog: load.Backlog, Waits: load.Waits}
+		all = append(all, h.engines.Summarize(now, h.config.Host, h.config.Zone, pool, queued))
 	}
 	return all
 }
--- a/internal/host/server/document.go
+++ b/internal/host/server/document.go
@@ -7,6 +7,7 @@
 
 	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
 	"github.com/hyssopwall/hyssopwall/internal/entry/quota"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/spread"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 	"github.com/hyssopwall/hyssopwall/internal/site/document"
@@ -37,7 +38,6 @@
 	s.home.SetWeights(sharesOf(index))
 	s.claims.SetZones(zonesOf(doc))
 	s.rolls.set(s.ctx, doc)
-	s.config.Log.Emit(event.ConfigurationApplied, "version", version)
 	for _, caller := range gone {
 		s.config.Log.Emit(event.KeyWithdrawn, "workspace", caller.Workspace, "key", caller.KeyID)
 	}
@@ -81,9 +81,6 @@
 	return shares
 }
 
-// documentKey is the object of the accepted document.
-const documentKey = "document/accepted"
-
 // firstShare is this host's part of a limit until shares are divided by
 // demand: an even part among the live hosts.
 func (s *Server) firstShare(_ quota.Key, limit quota.Limit) quota.Share {
@@ -91,80 +88,41 @@
 	return quota.Share{Fraction: 1 / float64(hosts), Slots: max(1, limit.Concurrency/hosts)}
 }
 
-// version returns the version of the document in force, zero for none.
-func (s *Server) version() uint64 { return s.gate.Version() }
-
-// accepted returns the document in force for a peer.
-func (s *Server) accepted() told {
-	s.docMu.Lock()
-	defer s.docMu.Unlock()
-	return s.doc
-}
-
-// learn puts a higher document version in force.
-func (s *Server) learn(t told) {
-	s.docMu.Lock()
-	defer s.docMu.Unlock()
-	if t.Version <= s.doc.Version {
-		return
-	}
-	s.doc = t
-	s.apply(t.Version, t.Body)
-}
-
-// watchDocument is the duty that follows the accepted document in the
-// platform.
+// watchDocument is the duty that puts each accepted document in force.
 func (s *Server) watchDocument(ctx context.Context) {
-	revision := uint64(0)
-	for ctx.Err() == nil {
-		batch, err := s.store.Watch(ctx, documentKey, revision)
-		if err != nil {
-			pause(ctx, time.Second)
-			continue
-		}
-		s.peers.heard()
-		revision = max(revision, batch.Revision)
-		for _, found := range batch.Objects {
-			if t, err := wire.Decode[told](found.Value); err == nil {
-				s.learn(t)
-			}
+	changes, cancel := s.spread.Subscribe()
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case accepted := <-changes:
+			s.apply(accepted.Version, accepted.Body)
 		}
 	}
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
-// Accept checks a document and puts it in force as the next version. It
-// returns an *object.ConflictError when another document was accepted
-// meanwhile.
-func Accept(ctx context.Context, store object.Store, body []byte) (uint64, error) {
+// Submit checks a document and puts it in force as the version after base. It
+// returns a *form.ProblemsError for a document that is not sound, and the
+// errors of spread.Accept.
+func Submit(ctx context.Context, store object.Store, by string, base uint64, body []byte) (uint64, error) {
 	if _, err := document.Decode("document", body); err != nil {
 		return 0, err
 	}
-	current, err := store.Get(ctx, documentKey)
+	accepted, err := spread.Accept(ctx, store, spread.Submission{By: by, At: time.Now(), Base: base, Body: body})
+	return accepted.Version, err
+}
+
+// Accepted reads the accepted document from the platform; its version is zero
+// when there is none.
+func Accepted(ctx context.Context, store object.Reader) (spread.Accepted, error) {
+	found, err := store.Get(ctx, spread.Key)
 	var missing *object.NotFoundError
-	if err != nil && !errors.As(err, &missing) {
-		return 0, err
-	}
-	next := told{Version: 1, Body: body}
-	if err == nil {
-		last, err := wire.Decode[told](current.Value)
-		if err != nil {
-			return 0, err
-		}
-		next.Version = last.Version + 1
+	if errors.As(err, &missing) {
+		return spread.Accepted{}, nil
 	}
-	data, err := wire.Encode(next)
 	if err != nil {
-		return 0, err
+		return spread.Accepted{}, err
 	}
-	_, err = store.Put(ctx, documentKey, data, current.Version)
-	return next.Version, err
+	return wire.Decode[spread.Accepted](found.Value)
 }
--- a/internal/host/server/hello.go
+++ b/internal/host/server/hello.go
@@ -8,9 +8,8 @@
 
 // The kinds of calls between hosts of this package.
 const (
-	helloKind    = "hello"
-	documentKind = "document"
-	marksKind    = "marks"
+	helloKind = "hello"
+	marksKind = "marks"
 )
 
 // maxHello bounds the lists of a hello.
@@ -47,26 +46,6 @@
 	return nil
 }
 
-// ask asks a peer for its document.
-type ask struct{}
-
-// Check accepts every ask.
-func (ask) Check() error { return nil }
-
-// told is an accepted document.
-type told struct {
-	Version uint64 `cbor:"1,keyasint"`
-	Body    []byte `cbor:"2,keyasint"`
-}
-
-// Check returns a *wire.FieldError for a document without a version.
-func (t told) Check() error {
-	if t.Version == 0 {
-		return &wire.FieldError{Type: "told", Field: "Version", Reason: "is zero"}
-	}
-	return nil
-}
-
 // none is an answer without content.
 type none struct{}
 
--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -36,7 +37,8 @@
 	mu        sync.Mutex
 	addresses map[string]bool // link addresses to say hello to
 	known     map[string]*peer
-	news      time.Time // last sign of the platform, seen here or at a peer
+	pickers   map[string]*route.Picker // homes of the other zones
+	news      time.Time                // last sign of the platform, seen here or at a peer
 }
 
 // peer is another host and what it last said.
@@ -52,6 +54,7 @@
 		lister:    &hostlist.Client{Base: s.config.Settings.Platform},
 		addresses: make(map[string]bool),
 		known:     make(map[string]*peer),
+		pickers:   make(map[string]*route.Picker),
 		news:      time.Now(),
 	}
 	for _, address := range s.config.Settings.Peers {
@@ -70,9 +73,6 @@
 		p.server.poison.Merge(time.Now(), marks.List)
 		return none{}, nil
 	})
-	link.Serve(p.server.endpoint, documentKind, func(_ context.Context, _ identity.Host, _ ask) (told, error) {
-		return p.server.accepted(), nil
-	})
 }
 
 // run is the duty that says hello.
@@ -120,6 +120,13 @@
 	}
 	group.Wait()
 	p.expire()
+	p.server.spread.Rank(p.rank())
+}
+
+// rank returns the place of this host among the live hosts of its zone, by
+// name; a host that stops has none.
+func (p *peers) rank() int {
+	return slices.Index(slices.Sorted(slices.Values(p.zoneHosts())), p.server.config.Settings.Host)
 }
 
 func (p *peers) targets() []string {
@@ -143,24 +150,13 @@
 		return
 	}
 	p.learn(identity.Host{Name: h.Host, Zone: h.Zone}, h)
-	if h.Version > p.server.version() {
-		p.fetch(ctx, address)
-	}
-}
-
-// fetch takes a newer document from a peer.
-func (p *peers) fetch(ctx context.Context, address string) {
-	got, err := link.Call[ask, told](ctx, p.server.endpoint, address, documentKind, ask{})
-	if err == nil {
-		p.server.learn(got)
-	}
 }
 
 func (p *peers) own() hello {
 	s := p.server
 	h := hello{
 		Host: s.config.Settings.Host, Zone: s.config.Settings.Zone, Address: s.endpoint.Address(),
-		Version: s.version(), Fresh: p.fresh(), Leaving: s.draining.Load(), Summaries: s.home.Summaries(),
+		Version: s.spread.Version(), Fresh: p.fresh(), Leaving: s.draining.Load(), Summaries: s.home.Summaries(),
 		Process: s.incarnation,
 	}
 	p.mu.Lock()
@@ -191,33 +187,40 @@
 		p.addresses[address] = true
 	}
 	p.mu.Unlock()
+	p.server.spread.Hear(h.Address, h.Version)
 	if joined {
 		p.server.config.Log.Emit(event.PeerJoined, "host", h.Host, "zone", h.Zone)
 	}
 	if h.Fresh {
 		p.heard()
 	}
-	if h.Zone != p.server.config.Settings.Zone {
-		return
-	}
 	if h.Leaving {
-		p.server.picker.Forget(h.Host)
+		p.pickerOf(h.Zone).Forget(h.Host)
 		return
 	}
-	p.server.picker.LearnHost(now, h.Host, h.Summaries)
+	p.pickerOf(h.Zone).LearnHost(now, h.Host, h.Summaries)
 }
 
 // expire marks silent hosts as failed.
 func (p *peers) expire() {
+	for _, peer := range p.silent() {
+		p.pickerOf(peer.Zone).Forget(peer.Host)
+		p.server.config.Log.Emit(event.PeerFailed, "host", peer.Host, "zone", peer.Zone)
+	}
+}
+
+// silent marks and returns the hosts that have just been silent for too long.
+func (p *peers) silent() []*peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var failed []*peer
 	for _, peer := range p.known {
 		if !peer.down && time.Since(peer.seen) > peerExpiry {
 			peer.down = true
-			p.server.picker.Forget(peer.Host)
-			p.server.config.Log.Emit(event.PeerFailed, "host", peer.Host, "zone", peer.Zone)
+			failed = append(failed, peer)
 		}
 	}
+	return failed
 }
 
 // leave tells every peer that this host takes no more work.
@@ -288,37 +291,41 @@
 	return peer.Address, true
 }
 
-// Hops returns the totals of the other zones that serve a pool.
+// Hops returns the totals of the other zones that serve a pool, those with the
+// most free slots first.
 func (p *peers) Hops(pool string) []route.Hop {
-	zones := make(map[string]*route.Summary)
-	for _, peer := range p.live(func(peer *peer) bool { return peer.Zone != p.server.config.Settings.Zone }) {
-		for _, summary := range peer.Summaries {
-			if summary.Pool == pool {
-				addTo(zones, peer, summary)
-			}
-		}
-	}
+	now := time.Now()
 	var hops []route.Hop
-	for _, total := range zones {
-		hops = append(hops, route.Hop{Total: *total, Cost: hopCost})
+	for zone, picker := range p.zonePickers() {
+		if total := picker.Total(now, zone, pool); total.Slots > 0 {
+			hops = append(hops, route.Hop{Total: total, Cost: hopCost})
+		}
 	}
 	slices.SortFunc(hops, func(a, b route.Hop) int {
-		return cmp.Or(cmp.Compare(a.Total.Wait(), b.Total.Wait()), cmp.Compare(a.Total.Zone, b.Total.Zone))
+		return cmp.Or(cmp.Compare(b.Total.Slots-b.Total.Running, a.Total.Slots-a.Total.Running), cmp.Compare(a.Total.Zone, b.Total.Zone))
 	})
 	return hops
 }
 
-func addTo(zones map[string]*route.Summary, peer *peer, s route.Summary) {
-	total := zones[peer.Zone]
-	if total == nil {
-		total = &route.Summary{Host: peer.Zone, Zone: peer.Zone, Pool: s.Pool, At: peer.seen}
-		zones[peer.Zone] = total
+func (p *peers) zonePickers() map[string]*route.Picker {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.pickers)
+}
+
+// pickerOf returns what is known of the homes of a zone.
+func (p *peers) pickerOf(zone string) *route.Picker {
+	if zone == p.server.config.Settings.Zone {
+		return &p.server.picker
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	picker := p.pickers[zone]
+	if picker == nil {
+		picker = &route.Picker{}
+		p.pickers[zone] = picker
 	}
-	total.Slots += s.Slots
-	total.Running += s.Running
-	total.Backlog += s.Backlog
-	total.Rate += s.Rate
-	total.Newest = max(total.Newest, s.Newest)
+	return picker
 }
 
 // Gateway returns the link address of a live host of another zone.
--- a/internal/host/server/server.go
+++ b/internal/host/server/server.go
@@ -21,6 +21,7 @@
 	"github.com/hyssopwall/hyssopwall/internal/fleet/identity"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/lease"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/link"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/spread"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/view"
 	"github.com/hyssopwall/hyssopwall/internal/host/api"
 	"github.com/hyssopwall/hyssopwall/internal/host/claims"
@@ -76,8 +77,7 @@
 	claims   *claims.Claims
 	metering *metering.Metering
 	index    atomic.Pointer[document.Index]
-	docMu    sync.Mutex
-	doc      told
+	spread   *spread.Duty
 	draining atomic.Bool
 	vars     expvar.Map
 
@@ -116,6 +116,9 @@
 	set := s.config.Settings
 	s.weights = newReleases(&weightstore.Client{Base: base})
 	s.home = home.New(home.Config{Host: set.Host, Zone: set.Zone, Dialer: dialer{}, Now: time.Now, Log: s.config.Log})
+	s.spread = spread.Start(spread.Config{
+		Endpoint: s.endpoint, Platform: s.store, Folder: spread.Folder{Path: set.Folder}, Log: s.config.Log,
+	})
 	s.peers = newPeers(s)
 	s.leases = s.newHolder()
 	caller := reach.Caller{Self: s.member(), Endpoint: s.endpoint, Fleet: s.peers}
@@ -216,6 +219,7 @@
 func (s *Server) stop() {
 	s.cancel()
 	s.rolls.close()
+	_ = s.spread.Close()
 	_ = s.endpoint.Close()
 	s.steps.Close()
 	s.home.Close()
--- a/internal/host/steps/generate.go
+++ b/internal/host/steps/generate.go
@@ -46,7 +46,7 @@
 		}
 		engines = append(engines, step.Engine{
 			Name: s.Host, Zone: s.Zone, Version: s.Newest, Free: free,
-			Speed: float64(s.Rate) / float64(s.Slots), Wait: s.Wait(),
+			Speed: float64(s.Rate) / float64(s.Slots), Wait: s.WaitOf(g.Workspace),
 		})
 	}
 	return engines
