--- /dev/null
+++ b/internal/fleet/scale/platform.go
@@ -0,0 +1,110 @@
+package scale
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/fleet/spread"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
+)
+
+// Times of the platform.
+const (
+	platformDelay = 5 * time.Millisecond
+	watchLimit    = 30 * time.Second // the platform ends a wait without a change
+	retryPause    = 2 * time.Second
+	day           = 24 * time.Hour
+)
+
+// platform holds the accepted document and the watches that wait for it.
+type platform struct {
+	accepted spread.Accepted
+	bytes    int
+}
+
+// poll reads the platform or waits there for a change.
+func (f *Fleet) poll(h *Host, start int) {
+	if h.start != start || !h.watching || h.parked {
+		return
+	}
+	if f.CutOff != nil && f.CutOff(h) {
+		f.After(retryPause, func() { f.poll(h, start) })
+		return
+	}
+	h.Cost.PlatformCalls++
+	if f.platform.accepted.Version > h.seen {
+		f.deliver(h, start)
+		return
+	}
+	h.parked = true
+	version := h.seen
+	f.After(watchLimit, func() {
+		if h.start == start && h.parked && h.seen == version {
+			h.parked = false
+			f.poll(h, start)
+		}
+	})
+}
+
+// deliver answers the call of a host with the accepted document.
+func (f *Fleet) deliver(h *Host, start int) {
+	accepted := f.platform.accepted
+	h.parked, h.seen = false, accepted.Version
+	h.Cost.PlatformBytes += uint64(f.platform.bytes)
+	f.After(platformDelay, func() {
+		if h.start != start {
+			return
+		}
+		f.spreadActions(h, h.Spread.Step(spread.Read{Accepted: accepted}, f.local(h)))
+		f.poll(h, start)
+	})
+}
+
+// Submit accepts the next document, which changes a few bytes of the last one.
+func (f *Fleet) Submit() uint64 {
+	next := f.platform.accepted
+	next.Version++
+	next.By, next.ID, next.At = "operator", fmt.Sprintf("%036d", next.Version), f.Now
+	if next.Body == nil {
+		next.Body = bytes.Repeat([]byte{' '}, f.Plan.Document)
+	}
+	next.Body = bytes.Clone(next.Body)
+	at := f.Rand.IntN(max(1, f.Plan.Document-f.Plan.Edit))
+	for i := range min(f.Plan.Edit, f.Plan.Document) {
+		next.Body[at+i] = byte(f.Rand.Uint32())
+	}
+	data, err := wire.Encode(next)
+	if err != nil {
+		panic(err)
+	}
+	f.platform = platform{accepted: next, bytes: len(data)}
+	for _, h := range f.Hosts {
+		if h.parked && (f.CutOff == nil || !f.CutOff(h)) {
+			f.deliver(h, h.start)
+		}
+	}
+	return next.Version
+}
+
+// Operate submits changes at the rate of the plan from now on.
+func (f *Fleet) Operate() {
+	if f.Plan.Changes == 0 {
+		return
+	}
+	wait := time.Duration(f.Rand.ExpFloat64() * float64(day) / float64(f.Plan.Changes))
+	f.After(wait, func() {
+		f.Submit()
+		f.Operate()
+	})
+}
+
+// InForce reports whether every host that is up has at least a version.
+func (f *Fleet) InForce(version uint64) bool {
+	for _, h := range f.Hosts {
+		if !h.Down && h.Spread.Accepted.Version < version {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -41,13 +42,18 @@
 
 // Encode returns the canonical encoding of m.
 func Encode[T Message](m T) ([]byte, error) {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
+	mode, err := canonical()
 	if err != nil {
 		return nil, err
 	}
 	return mode.Marshal(m)
 }
 
+// canonical builds the encoder once: building it costs more than most messages.
+var canonical = sync.OnceValues(func() (cbor.EncMode, error) {
+	return cbor.CoreDetEncOptions().EncMode()
+})
+
 // Decode decodes and checks a message. It returns a *DecodeError for bytes
 // that are no such message, and the message's own error when its check fails.
 func Decode[T Message](data []byte) (T, error) {
