Learn the pace of engines and avoid slow ones

Engines that run at a third of their stated speed held steps up. The history now keeps each engine's pace against the fleet's. The planner of weights is asked every 100 ms in the model, as its duty does, and a site's figures are summed over seeds.

--- a/internal/rollout/compare/compare_test.go
+++ b/internal/rollout/compare/compare_test.go
@@ -17,6 +17,9 @@
 // table.
 var full = flag.Bool("full", false, "run all comparisons at full size")
 
+// seedStep lies between the seeds of a site's runs.
+const seedStep = 100
+
 // shortLength is the length of a run under the race detector.
 const shortLength = 15 * time.Minute
 
@@ -36,6 +39,10 @@
 			c := c
 			c.Baseline, c.Reclaims = baseline, reclaims
 			results[i] = compare.Run(c)
+			for range c.Repeats {
+				c.Seed += seedStep
+				results[i].Add(compare.Run(c))
+			}
 			return nil
 		})
 	}
@@ -63,7 +70,7 @@
 	func(reclaims bool) {
 		for _, c := range scenarios() {
 			if testing.Short() {
-				c.Length = shortLength
+				c.Length, c.Repeats = shortLength, 0
 			}
 			for _, r := range table(c, reclaims) {
 				Expect(r.Samples).To(BeNumerically(">", 0))
--- a/internal/rollout/compare/market.go
+++ b/internal/rollout/compare/market.go
@@ -162,8 +162,23 @@
 	})
 }
 
-// load ends and starts the loads of new weights.
+// loadTick is the interval at which the weight duty plans.
+const loadTick = 100 * time.Millisecond
+
+// load ends and starts the loads of new weights. Once a roll-out is over, one
+// look in each tick finds the engines that crashed in it.
 func (s *site) load() {
+	end := s.now
+	if !s.rolled {
+		s.now = s.now.Add(loadTick - s.c.Tick)
+	}
+	for ; !s.now.After(end); s.now = s.now.Add(loadTick) {
+		s.loadOnce()
+	}
+	s.now = end
+}
+
+func (s *site) loadOnce() {
 	var reports []weights.Engine
 	byName := map[string]*sampler{}
 	current := true
@@ -171,12 +186,7 @@
 		if !on.works(s.now) || !on.until.IsZero() {
 			continue
 		}
-		if !on.started {
-			on.started, on.version = true, s.newest
-		}
-		if !on.loading.IsZero() && !s.now.Before(on.loading) {
-			on.swap()
-		}
+		s.settle(on)
 		current = current && on.version == s.newest
 		reports = append(reports, on.report())
 		byName[on.name] = on
@@ -196,6 +206,17 @@
 	}
 }
 
+// settle ends a load that is due. A server that starts loads the newest
+// weights before it works.
+func (s *site) settle(on *sampler) {
+	if !on.started {
+		on.started, on.version = true, s.newest
+	}
+	if !on.loading.IsZero() && !s.now.Before(on.loading) {
+		on.swap()
+	}
+}
+
 // loadAll tells every engine at once. Each stops and waits for its turn at the
 // weight store.
 func (s *site) loadAll(reports []weights.Engine, byName map[string]*sampler) {
--- a/internal/rollout/compare/result.go
+++ b/internal/rollout/compare/result.go
@@ -71,6 +71,31 @@
 		Quantile(r.Rolls, 1).Seconds(), r.Stale+r.Mislabeled)
 }
 
+// Add adds the figures of another run of the same site, under another seed, so
+// that the chance of a single run weighs less.
+func (r *Result) Add(other Result) {
+	r.Scenario.Length += other.Scenario.Length
+	r.Steps += other.Steps
+	r.Times = append(r.Times, other.Times...)
+	r.Waited += other.Waited
+	r.Worked += other.Worked
+	r.Samples += other.Samples
+	r.Stale += other.Stale
+	r.Mislabeled += other.Mislabeled
+	r.Repeated += other.Repeated
+	r.Delivered += other.Delivered
+	r.Wasted += other.Wasted
+	r.Cost += other.Cost
+	r.Spot += other.Spot
+	r.Generated += other.Generated
+	r.Writes += other.Writes
+	r.MostWrites = max(r.MostWrites, other.MostWrites)
+	r.Rolls = append(r.Rolls, other.Rolls...)
+	r.Reclaimed += other.Reclaimed
+	r.Crashed += other.Crashed
+	r.sort()
+}
+
 func (r *Result) sort() {
 	slices.Sort(r.Times)
 	slices.Sort(r.Rolls)
--- a/internal/rollout/step/assign.go
+++ b/internal/rollout/step/assign.go
@@ -50,9 +50,11 @@
 	siblingsFree   = 4
 )
 
-// candidate is an engine and how many generations this call has started on it.
+// candidate is an engine, its pace against the fleet's, and how many
+// generations this call has started on it.
 type candidate struct {
 	*Engine
+	pace    float64
 	started int
 }
 
@@ -92,7 +94,7 @@
 		if e.Free <= 0 || e.Leaving || !sample.Fresh([]uint64{e.Version}, l.newest, l.state.Bound) {
 			continue
 		}
-		usable = append(usable, &candidate{Engine: e})
+		usable = append(usable, &candidate{Engine: e, pace: l.history.Pace(e.Name)})
 	}
 	return usable
 }
@@ -188,7 +190,7 @@
 	if speed <= 0 {
 		speed = defaultSpeed
 	}
-	return speed / (1 + e.Drag*float64(e.started))
+	return speed * e.pace / (1 + e.Drag*float64(e.started))
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -199,9 +201,9 @@
 	s := &l.slots[at]
 	s.attempts++
 	s.running++
+	a := &attempt{id: l.attemptID(s), slot: at, engine: e.Name, hedge: hedge, started: now, moved: now, speed: speedOf(e) / e.pace}
 	e.Free--
 	e.started++
-	a := &attempt{id: l.attemptID(s), slot: at, engine: e.Name, hedge: hedge, started: now, moved: now}
 	group := l.plan.Groups[s.group]
 	request := engine.Request{
 		ID: a.id, Model: l.plan.Model, Adapter: l.plan.Adapter, Prompt: group.Prompt,
@@ -209,7 +211,7 @@
 	}
 	if !hedge && s.resume != nil {
 		request.Resume = s.resume
-		a.versions, a.tokens = s.resume.Versions, s.resume.Tokens
+		a.versions, a.tokens, a.resumed = s.resume.Versions, s.resume.Tokens, s.resume.Tokens
 		s.resume = nil
 	}
 	l.running[a.id] = a
--- a/internal/rollout/step/complete.go
+++ b/internal/rollout/step/complete.go
@@ -32,6 +32,7 @@
 	if tokens > a.tokens {
 		a.tokens, a.moved = tokens, now
 	}
+	l.learn(a, now)
 	a.versions = versions
 	if l.hopeless(versions) {
 		l.drop(a, &l.stats.StaleTokens)
@@ -39,6 +40,16 @@
 	}
 }
 
+// learn remembers the pace of an attempt's engine.
+func (l *Ledger) learn(a *attempt, now time.Time) {
+	if age := now.Sub(a.started); age >= paceAge {
+		l.history.AddPace(a.engine, float64(a.tokens-a.resumed)/age.Seconds()/a.speed)
+	}
+}
+
+// paceAge is how long an attempt runs before its pace says something.
+const paceAge = 5 * time.Second
+
 // Complete takes a finished sample. The first complete, labeled and fresh
 // sample of a slot wins; other attempts at the slot are canceled.
 func (l *Ledger) Complete(id string, s sample.Sample, now time.Time) Outcome {
--- a/internal/rollout/step/hedge.go
+++ b/internal/rollout/step/hedge.go
@@ -82,10 +82,10 @@
 		return stalePenalty
 	}
 	age := now.Sub(a.started).Seconds()
-	if age <= 0 || a.tokens == 0 {
+	if age <= 0 || a.tokens <= a.resumed {
 		return 0
 	}
-	pace := float64(a.tokens) / age
+	pace := float64(a.tokens-a.resumed) / age
 	return seconds((l.length(l.slots[a.slot].group, a.tokens) - float64(a.tokens)) / pace)
 }
 
--- a/internal/rollout/step/history.go
+++ b/internal/rollout/step/history.go
@@ -18,6 +18,8 @@
 type History struct {
 	mu    sync.Mutex
 	means map[string]float64
+	paces map[string]float64 // of each engine, as the share of its stated speed
+	pace  float64            // of all engines
 }
 
 // Add takes the length in tokens of a finished sample.
@@ -35,7 +37,7 @@
 		h.means[class] = float64(tokens)
 		return
 	}
-	h.means[class] = mean + historyWeight*(float64(tokens)-mean)
+	h.means[class] = moved(mean, float64(tokens), historyWeight)
 }
 
 // Mean returns the expected length in tokens of a sample of the class.
@@ -60,3 +62,44 @@
 	}
 	return length
 }
+
+// Limits of what is remembered of engines.
+const (
+	maxPaces   = 8192
+	paceWeight = 0.2  // of the newest pace in an engine's moving mean
+	fleetPace  = 0.01 // of the newest pace in the fleet's moving mean
+	slowPace   = 0.6  // of the fleet's pace: below it an engine counts as slow
+)
+
+// AddPace takes the share of its stated speed at which an engine ran an
+// attempt. Load that comes later lowers the pace of all engines alike, so that
+// only an engine's pace against the fleet's says that it is slow.
+func (h *History) AddPace(name string, pace float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.paces == nil || len(h.paces) >= maxPaces {
+		h.paces = map[string]float64{}
+	}
+	h.paces[name] = moved(h.paces[name], pace, paceWeight)
+	h.pace = moved(h.pace, pace, fleetPace)
+}
+
+// moved returns the moving mean after a value; a mean of zero has none yet.
+func moved(mean, value, weight float64) float64 {
+	if mean == 0 {
+		return value
+	}
+	return mean + weight*(value-mean)
+}
+
+// Pace returns the pace of an engine against the fleet's, one unless it is
+// known to be slow.
+func (h *History) Pace(name string) float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	pace, ok := h.paces[name]
+	if !ok || h.pace <= 0 || pace >= slowPace*h.pace {
+		return 1
+	}
+	return max(pace/h.pace, 0.01)
+}
--- a/internal/rollout/step/ledger.go
+++ b/internal/rollout/step/ledger.go
@@ -58,6 +58,8 @@
 	moved    time.Time // last progress
 	tokens   int
 	versions []uint64
+	speed    float64 // tokens per second that the engine stated
+	resumed  int     // tokens that the attempt started from
 }
 
 type sibling struct {
