Hedge only the attempts that hold a step up

The budget went to long samples early in the step and was gone when the last ones straggled. Hedges now go to the attempts expected to end last, one in twenty.

--- a/internal/rollout/step/hedge.go
+++ b/internal/rollout/step/hedge.go
@@ -71,9 +71,17 @@
 	slices.SortFunc(all, func(a, b straggler) int {
 		return cmp.Or(cmp.Compare(b.rest, a.rest), cmp.Compare(a.slot, b.slot))
 	})
-	return all
+	last := max(lastFew, len(l.running)/lastShare)
+	return all[:min(len(all), last)]
 }
 
+// Only the attempts expected to end last hold a step up: one in lastShare of
+// the running ones, and at least lastFew.
+const (
+	lastFew   = 8
+	lastShare = 20
+)
+
 // rest returns how long an attempt is still expected to take at its pace so
 // far. A stuck one is expected to take for ever; nothing is said of one that
 // has yet to show a pace.
