Order no more servers than unfinished samples can fill

Near a deadline a few stragglers made the need grow without limit. Deadlines are now met in their order when on-demand servers are weighed.

--- a/internal/rollout/compare/market.go
+++ b/internal/rollout/compare/market.go
@@ -42,11 +42,11 @@
 
 func (s *site) demand() reclaim.Demand {
 	full := s.c.Speed * float64(s.c.Slots) / (1 + s.c.Drag*float64(s.c.Slots-1))
-	demand := reclaim.Demand{Rate: full}
+	demand := reclaim.Demand{Rate: full, Slots: s.c.Slots}
 	for _, t := range s.trainers {
 		if t.ledger != nil {
-			_, tokens := t.ledger.Remaining()
-			demand.Steps = append(demand.Steps, reclaim.Step{Tokens: float64(tokens), Deadline: t.opened.Add(s.c.Goal)})
+			samples, tokens := t.ledger.Remaining()
+			demand.Steps = append(demand.Steps, reclaim.Step{Tokens: float64(tokens), Samples: samples, Deadline: t.opened.Add(s.c.Goal)})
 		}
 	}
 	return demand
--- a/internal/rollout/reclaim/capacity.go
+++ b/internal/rollout/reclaim/capacity.go
@@ -7,7 +7,8 @@
 //  1. Work that may not be repeated runs on on-demand servers only, spread over
 //     the zones.
 //  2. The rest needs the rate at which each step's remaining tokens are done by
-//     its deadline less a margin, plus the steady rate of other requests.
+//     its deadline less a margin, plus the steady rate of other requests. A
+//     step never needs more servers than its unfinished samples can fill.
 //  3. Spot servers cover that need, spread evenly over the zones that have not
 //     lately reclaimed or refused any.
 //  4. On-demand servers cover what spot lacks only when waiting longer for spot
@@ -48,6 +49,7 @@
 // Step is the demand of one training step.
 type Step struct {
 	Tokens   float64 // still to generate
+	Samples  int     // not yet finished; zero if not known
 	Deadline time.Time
 }
 
@@ -56,6 +58,7 @@
 	Steady float64 // of other requests that may be repeated
 	Fixed  int     // servers for work that may not be repeated
 	Rate   float64 // of one server
+	Slots  int     // generations of one server at once; zero if not known
 	Steps  []Step
 }
 
@@ -107,7 +110,7 @@
 	}
 	rate := demand.Steady
 	for _, step := range demand.Steps {
-		rate += step.Tokens / p.left(now, step).Seconds()
+		rate += min(step.Tokens/p.left(now, step).Seconds(), most(demand, step))
 	}
 	need := int(math.Ceil(rate / demand.Rate * (1 + p.Policy.Headroom)))
 	if p.Policy.Most > 0 {
@@ -116,6 +119,16 @@
 	return max(0, need)
 }
 
+// most returns the rate at which a step can use servers at all. A few
+// stragglers near the deadline end no sooner on more servers than they fill.
+func most(demand Demand, step Step) float64 {
+	if step.Samples <= 0 || demand.Slots <= 0 {
+		return math.Inf(1)
+	}
+	servers := (step.Samples + demand.Slots - 1) / demand.Slots
+	return float64(servers) * demand.Rate
+}
+
 // left returns the time for a step's work, at least a second.
 func (p *Planner) left(now time.Time, step Step) time.Duration {
 	return max(step.Deadline.Sub(now)-cmp.Or(p.Policy.Margin, DefaultMargin), time.Second)
@@ -156,7 +169,9 @@
 	}
 	spare := have - demand.Steady
 	total := 0.0
-	for _, step := range demand.Steps {
+	steps := slices.Clone(demand.Steps)
+	slices.SortFunc(steps, func(a, b Step) int { return a.Deadline.Compare(b.Deadline) })
+	for _, step := range steps {
 		total += step.Tokens
 		if spare*(p.left(now, step)-cmp.Or(p.Policy.Start, DefaultStart)).Seconds() < total {
 			return need - running
--- a/internal/rollout/reclaim/reclaim_test.go
+++ b/internal/rollout/reclaim/reclaim_test.go
@@ -21,11 +21,13 @@
 // wanted after each. Times are seconds.
 type script struct {
 	Rate  float64
+	Slots int
 	Turns []struct {
 		At       float64
 		Steady   float64
 		Fixed    int
 		Tokens   float64
+		Samples  int
 		Deadline float64
 		Zones    []struct {
 			Name         string
@@ -51,9 +53,9 @@
 		It(c.Name, func() {
 			var planner reclaim.Planner
 			for i, turn := range c.Data.Turns {
-				demand := reclaim.Demand{Steady: turn.Steady, Fixed: turn.Fixed, Rate: c.Data.Rate}
+				demand := reclaim.Demand{Steady: turn.Steady, Fixed: turn.Fixed, Rate: c.Data.Rate, Slots: c.Data.Slots}
 				if turn.Tokens > 0 {
-					demand.Steps = []reclaim.Step{{Tokens: turn.Tokens, Deadline: at(turn.Deadline)}}
+					demand.Steps = []reclaim.Step{{Tokens: turn.Tokens, Samples: turn.Samples, Deadline: at(turn.Deadline)}}
 				}
 				var zones []reclaim.Zone
 				for _, z := range turn.Zones {
