Compare usage reports with what callers were served in the demo

Cause: nothing showed that reports are exact, and scoring calls of steps were counted as requests of the workspace: 1,319 reported against 487 served.

Change: calls that are part of another request are not counted by themselves; the demo runs the clock of usage windows 900 times as fast, waits for the reports and compares them.

--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -31,6 +31,7 @@
 	Identity string
 	Deadline time.Time
 	Priority int
+	Internal bool // part of another request, which is counted and judged instead
 }
 
 // Dispatcher runs admitted requests. Errors are *Error.
--- a/internal/host/demo/report.go
+++ b/internal/host/demo/report.go
@@ -32,7 +32,8 @@
 	Load       load.Report      `json:"load"`
 	Weights    uint64           `json:"weights"`
 	Withdrawn  time.Duration    `json:"withdrawn"` // until a withdrawn key was refused everywhere
-	Calls      map[string]int   `json:"calls"`     // to the platform, by kind
+	Usage      Usage            `json:"usage"`
+	Calls      map[string]int   `json:"calls"` // to the platform, by kind
 	Events     map[string]int   `json:"events"`
 	Promises   []Promise        `json:"promises"`
 }
@@ -57,6 +58,7 @@
 	for _, call := range []platform.Call{platform.Get, platform.Put, platform.List, platform.Watch, platform.Servers, platform.Hosts, platform.Newest, platform.Report} {
 		report.Calls[string(call)] = r.site.Platform.Calls(call)
 	}
+	report.Usage = Usage{Served: r.served(), Reported: r.reported()}
 	report.Promises = r.promises(report)
 	return report
 }
@@ -71,6 +73,8 @@
 	all = append(all,
 		Promise{Text: "Every caller gets the whole answer to its own request", Checked: answered, Broken: wrong},
 		r.onlyOnce(), r.noKeys(), r.withdrawalPromise(),
+		r.usagePromise(),
+		Promise{Text: "No usage window is reported with different figures", Checked: len(r.site.Platform.Reports()), Broken: len(r.site.Platform.ReportFaults())},
 		Promise{Text: "Orders come from one process only", Checked: len(r.site.Platform.Orders()), Broken: r.site.Platform.StaleOrders()},
 	)
 	return all
@@ -153,6 +157,8 @@
 	_, _ = fmt.Fprintf(out, "\n%s: %d hosts, weights %d\n\n", r.Deployment, r.Hosts, r.Weights)
 	r.writeTrainers(out)
 	r.writeLoad(out)
+	_, _ = fmt.Fprintf(out, "usage reported: %d requests, %d samples; served: %d requests, %d samples\n",
+		r.Usage.Reported.Requests, r.Usage.Reported.Samples, r.Usage.Served.Requests, r.Usage.Served.Samples)
 	_, _ = fmt.Fprintf(out, "key withdrawn everywhere after %s\n\n", r.Withdrawn.Round(time.Millisecond))
 	_, _ = fmt.Fprintf(out, "%-62s %9s %7s\n", "promise", "checked", "broken")
 	for _, p := range r.Promises {
--- a/internal/host/demo/run.go
+++ b/internal/host/demo/run.go
@@ -119,6 +119,7 @@
 		Scorers: map[string]bool{deployment.Scorer: true},
 		Engine:  engine.Settings{Record: true, Restart: time.Second, LoadTime: 100 * time.Millisecond},
 		Service: service.Settings{Record: true},
+		Clock:   fastClock(time.Now()),
 		Log:     event.Log{Sink: r.events.add},
 	})
 	if err != nil {
@@ -127,6 +128,8 @@
 	defer r.site.Close()
 	r.say("%d hosts ready at %s", len(r.site.Hosts()), strings.Join(r.site.URLs(), " "))
 	r.work(ctx)
+	r.say("waiting for the usage reports")
+	r.awaitUsage(ctx)
 	report := r.report()
 	if settings.Hold {
 		<-ctx.Done()
--- a/internal/host/dispatch/admit.go
+++ b/internal/host/dispatch/admit.go
@@ -79,7 +79,7 @@
 }
 
 func (d *Dispatcher) observe(call api.Call, began, ended int64, err error) {
-	if d.config.Observe == nil {
+	if d.config.Observe == nil || call.Internal {
 		return
 	}
 	d.config.Observe(Result{
--- a/internal/host/dispatch/generate.go
+++ b/internal/host/dispatch/generate.go
@@ -76,7 +76,7 @@
 	}
 	defer admitted.leave(1)
 	answer, ran, err := d.claimed(admitted.ctx, call, request)
-	if err == nil && ran {
+	if err == nil && ran && !call.Internal {
 		d.count(ctx, Usage{Workspace: call.Caller.Workspace, Requests: 1})
 	}
 	return answer, err
--- a/internal/host/steps/score.go
+++ b/internal/host/steps/score.go
@@ -75,7 +75,7 @@
 	}
 	call := api.Call{
 		ID: "score." + one.Attempt, Caller: gate.Caller{Workspace: s.Workspace}, Pool: pool, Route: route,
-		Identity: one.Attempt, Deadline: s.Now().Add(time.Duration(route.Timeout)),
+		Identity: one.Attempt, Deadline: s.Now().Add(time.Duration(route.Timeout)), Internal: true,
 	}
 	answer, err := s.Invoker.Invoke(ctx, call, service.Request{
 		ID: call.ID, Method: http.MethodPost, Path: scorePath, Body: body,
