--- a/internal/fleet/explore/explore.go
+++ b/internal/fleet/explore/explore.go
@@ -9,10 +9,19 @@
 	"strings"
 )
 
-// Step is one move of a model: what happened, and the state after it.
+// Step is one move of a model: what happened, and the state after it. Make,
+// when set, makes the state when it is needed.
 type Step[S any] struct {
 	Label string
 	State S
+	Make  func() S
+}
+
+func (s Step[S]) to() S {
+	if s.Make != nil {
+		return s.Make()
+	}
+	return s.State
 }
 
 // Model is a protocol under search. States that have the same Key are the
@@ -72,14 +81,15 @@
 		report.Depth = here.depth
 		for _, step := range model.Next(here.state) {
 			report.Transitions++
-			key := model.Key(step.State)
+			state := step.to()
+			key := model.Key(state)
 			if _, ok := seen[key]; ok {
 				continue
 			}
 			seen[key] = struct{}{}
-			nodes = append(nodes, node[S]{state: step.State, from: at, label: step.Label, depth: here.depth + 1})
+			nodes = append(nodes, node[S]{state: state, from: at, label: step.Label, depth: here.depth + 1})
 			report.States++
-			if err := model.Check(step.State); err != nil {
+			if err := model.Check(state); err != nil {
 				report.Broken = err
 				report.Path = path(nodes)
 				return report
--- a/internal/fleet/explore/walk.go
+++ b/internal/fleet/explore/walk.go
@@ -31,7 +31,7 @@
 			return
 		}
 		next := choose(steps, weights, random)
-		state = next.State
+		state = next.to()
 		labels = append(labels, next.Label)
 		seen[model.Key(state)] = struct{}{}
 		report.Transitions++
