Bound the platform calls of a step and retire old step objects

A call that hangs held the owner's commit without end; each call now has five seconds and its outcome is then read back. A trainer's new step deletes the object of the step three before it, so that steps leave nothing behind.

--- a/internal/rollout/step/open.go
+++ b/internal/rollout/step/open.go
@@ -49,7 +49,31 @@
 		// A plan without a copy is asked for again after a takeover.
 		_ = config.Copies.Save(ctx, planKey(id), data)
 	}
-	return begin(ctx, config, state, *plan, 0)
+	owner, err := begin(ctx, config, state, *plan, 0)
+	if err == nil {
+		retire(ctx, config.Store, id)
+	}
+	return owner, err
+}
+
+// keptSteps is the number of a trainer's earlier steps whose objects stay, for
+// a trainer that restarts from a checkpoint.
+const keptSteps = 2
+
+// retire deletes the object of the trainer's step that no checkpoint needs any
+// more. A failure leaves one small object behind and nothing else.
+func retire(ctx context.Context, store Store, id ID) {
+	deleter, ok := store.(interface {
+		Delete(ctx context.Context, key string, expect uint64) error
+	})
+	if !ok || id.Number <= keptSteps {
+		return
+	}
+	id.Number -= keptSteps + 1
+	stored, err := store.Get(ctx, id.Key())
+	if err == nil {
+		_ = deleter.Delete(ctx, id.Key(), stored.Version)
+	}
 }
 
 func takeOver(ctx context.Context, config Config, id ID, plan *Plan, stored object.Object) (*Owner, error) {
--- a/internal/rollout/step/step_test.go
+++ b/internal/rollout/step/step_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"time"
@@ -64,6 +65,16 @@
 	return stored, nil
 }
 
+func (s *store) Delete(_ context.Context, key string, expect uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if have := s.objects[key].Version; have != expect {
+		return &object.ConflictError{Key: key, Want: expect, Have: have}
+	}
+	delete(s.objects, key)
+	return nil
+}
+
 // copies keeps what it is given until it is told to lose it.
 type copies struct {
 	mu   sync.Mutex
@@ -175,6 +186,41 @@
 		Expect(second.Close()).To(Succeed())
 	})
 
+	It("keeps the objects of a trainer's last steps only", func() {
+		for number := uint64(1); number <= 5; number++ {
+			wanted := plan(1, 1)
+			wanted.ID.Number = number
+			owner, err := step.Open(ctx, config("h1"), wanted.ID, &wanted)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(owner.Close()).To(Succeed())
+		}
+		Expect(st.objects).To(HaveLen(3))
+	})
+
+	It("asks for the plan after a takeover without copies, and refuses another one", func() {
+		first, err := step.Open(ctx, config("h1"), wanted.ID, &wanted)
+		Expect(err).NotTo(HaveOccurred())
+		co.data = nil
+		var unknown *step.PlanError
+		_, err = step.Open(ctx, config("h2"), wanted.ID, nil)
+		Expect(errors.As(err, &unknown)).To(BeTrue())
+		other := plan(2, 4)
+		_, err = step.Open(ctx, config("h2"), wanted.ID, &other)
+		Expect(errors.As(err, &unknown)).To(BeTrue())
+		second, err := step.Open(ctx, config("h2"), wanted.ID, &wanted)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first.Close()).To(Succeed())
+		Expect(second.Close()).To(Succeed())
+	})
+
+	It("refuses a cursor that the platform does not know either", func() {
+		owner, err := step.Open(ctx, config("h1"), wanted.ID, &wanted)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = owner.Pull(ctx, step.Request{Cursor: 9})
+		Expect(err).To(BeAssignableToTypeOf(&step.CursorError{}))
+		Expect(owner.Close()).To(Succeed())
+	})
+
 	It("ends a canceled step for its successors too", func() {
 		owner, err := step.Open(ctx, config("h1"), wanted.ID, &wanted)
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/rollout/step/write.go
+++ b/internal/rollout/step/write.go
@@ -14,6 +14,7 @@
 const (
 	writeBackoff = 100 * time.Millisecond
 	maxBackoff   = 5 * time.Second
+	callTimeout  = 5 * time.Second // of one call of the platform
 )
 
 func backoff(failures int) time.Duration {
@@ -49,7 +50,9 @@
 
 // put writes a step object and finds out what became of it (rule 5).
 func put(ctx context.Context, store Store, id ID, value []byte, expect uint64) written {
-	stored, err := store.Put(ctx, id.Key(), value, expect)
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	stored, err := store.Put(limited, id.Key(), value, expect)
 	if err == nil {
 		return written{version: stored.Version}
 	}
@@ -64,6 +67,8 @@
 // readBack compares the object with what was to be written. The value names
 // the owner and its epoch, so that equal bytes are this owner's own write.
 func readBack(ctx context.Context, store Store, id ID, value []byte, expect uint64) written {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	stored, err := store.Get(ctx, id.Key())
 	var missing *object.NotFoundError
 	switch {
