--- a/internal/entry/queue/push.go
+++ b/internal/entry/queue/push.go
@@ -10,12 +10,13 @@
 func (q *Queue) Push(now time.Time, item Item) (shed []Shed, err error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	item.Tokens = max(1, item.Tokens)
 	f := q.flowOf(item.Workspace)
+	q.repay(f)
+	item.charged = max(1, int(q.ratioOf(now, f)*float64(item.Tokens)))
 	if q.closed {
 		return nil, &RefusedError{ID: item.ID, Reason: ReasonClosed, After: minAfter}
 	}
-	if wait := q.waitOf(f, item.Priority); q.isHopeless(item, now.Add(wait)) {
+	if wait := q.waitOf(f, item.Priority); q.isHopeless(item, now.Add(wait), q.waiting) {
 		return nil, &RefusedError{ID: item.ID, Reason: ReasonDeadline, After: clampAfter(wait)}
 	}
 	if q.waiting >= q.places() {
@@ -27,7 +28,6 @@
 	}
 	q.order++
 	item.order = q.order
-	item.arrived = now
 	q.insert(f, &item)
 	return shed, nil
 }
@@ -47,7 +47,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.take(func(item *Item) string {
-		if q.isHopeless(*item, now) {
+		if q.isHopeless(*item, now, q.waiting-1) {
 			return ReasonDeadline
 		}
 		return ""
@@ -72,12 +72,16 @@
 }
 
 // Settle charges the difference between the expected and the true tokens of a
-// request that Pop returned (rule 2).
-func (q *Queue) Settle(workspace string, expected, used int) {
+// request that Pop returned (rule 2), and learns from a whole answer what later
+// ones take.
+func (q *Queue) Settle(now time.Time, item Item, result Result) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	f := q.flowOf(workspace)
-	extra := used - max(1, expected)
+	f := q.flowOf(item.Workspace)
+	if result.Whole {
+		q.learn(now, f, item, result)
+	}
+	extra := result.Used - item.charged
 	f.credit -= extra
 	f.used += int64(extra)
 	q.rate.correct(extra)
@@ -102,7 +106,7 @@
 	}
 	at, _ := slices.BinarySearchFunc(f.items, item, compareItems)
 	f.items = slices.Insert(f.items, at, item)
-	f.backlog += item.Tokens
+	f.backlog += item.charged
 	q.waiting++
 }
 
@@ -113,12 +117,19 @@
 	return int(int64(a.order) - int64(b.order))
 }
 
-// join lets a workspace wait its turn behind those in the ring. Rounds that
-// passed while it was idle repay a debt but give no credit (rule 2).
-func (q *Queue) join(f *flow) {
+// repay lets the rounds that passed while a workspace was idle repay its debt,
+// but give no credit (rule 2).
+func (q *Queue) repay(f *flow) {
+	if len(f.items) > 0 {
+		return
+	}
 	repaid := int64(q.round-f.round) * int64(q.quantum()*f.weight)
 	f.credit = int(min(0, int64(f.credit)+repaid))
 	f.round = q.round
+}
+
+// join lets a workspace wait its turn behind those in the ring.
+func (q *Queue) join(f *flow) {
 	q.ring = slices.Insert(q.ring, q.at, f)
 	q.at++
 	if q.at >= len(q.ring) {
@@ -147,7 +158,7 @@
 func (q *Queue) cut(f *flow, at int) *Item {
 	item := f.items[at]
 	f.items = slices.Delete(f.items, at, at+1)
-	f.backlog -= item.Tokens
+	f.backlog -= item.charged
 	q.waiting--
 	if len(f.items) == 0 {
 		q.leave(f)
@@ -186,3 +197,13 @@
 	after := clampAfter(q.waitOf(f, item.Priority))
 	return Shed{Item: *item, Refusal: RefusedError{ID: item.ID, Reason: reason, After: after}}
 }
+
+// SetWeights replaces the weights of the workspaces, for a new document.
+func (q *Queue) SetWeights(weights map[string]int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.config.Weights = weights
+	for name, f := range q.flows {
+		f.weight = q.weight(name)
+	}
+}
