--- a/internal/standin/trainer/check.go
+++ b/internal/standin/trainer/check.go
@@ -15,6 +15,7 @@
 	Late     int            `json:"late"`    // finished after the deadline
 	Failed   int            `json:"failed"`  // given up
 	Pulls    int            `json:"pulls"`   // answered
+	Skipped  int            `json:"skipped"` // pulls that answered for another cursor
 	Samples  int            `json:"samples"` // delivered
 	Tokens   int            `json:"tokens"`
 	Idle     time.Duration  `json:"idle"` // waiting for samples
--- a/internal/standin/trainer/trainer.go
+++ b/internal/standin/trainer/trainer.go
@@ -134,7 +134,13 @@
 		}
 		t.report.Pulls++
 		if chunk.Previous != cursor {
-			continue // the samples follow another cursor than the one held
+			// The samples follow another cursor than the one held.
+			t.report.Skipped++
+			fault.Rule{Delay: retryWait}.Wait(ctx)
+			if ctx.Err() != nil {
+				return false
+			}
+			continue
 		}
 		for _, sample := range chunk.Samples {
 			check.sample(sample, newest)
--- a/internal/standin/trainer/trainer_test.go
+++ b/internal/standin/trainer/trainer_test.go
@@ -27,11 +27,13 @@
 
 // deliveryCase is what a service delivers for one group of two samples, and the
 // counts that the trainer has to find. A sample without a digest gets the
-// right one; Lost answers are dropped before the delivery.
+// right one; Lost answers are dropped before the delivery, and then Astray ones
+// are for another cursor.
 type deliveryCase struct {
 	Name   string
 	Chunks []trainer.Chunk
 	Lost   int
+	Astray int
 	Status int
 	Want   map[string]int
 }
@@ -60,6 +62,9 @@
 		for _, chunk := range test.Chunks {
 			if chunk.Cursor > pull.Cursor {
 				chunk.Previous = pull.Cursor
+				if int(calls.Load()) <= test.Lost+test.Astray {
+					chunk.Previous++
+				}
 				_ = json.NewEncoder(w).Encode(chunk)
 				return
 			}
@@ -81,6 +86,7 @@
 		"stale":   report.Stale,
 		"wrong":   report.Wrong,
 		"lost":    report.Errors[caller.CodeLost],
+		"skipped": report.Skipped,
 	}
 	for name, count := range counts {
 		if count == 0 {
