Show status of hosts and recompute usage reports from sealed windows

Cause: operators had no view of a host, and an auditor could not check a report.

Change: status asks hosts for what they know; report usage reads the sealed windows and recomputes each line from the counters that it lists; counters by expvar.

--- a/internal/billing/usage/seal.go
+++ b/internal/billing/usage/seal.go
@@ -14,11 +14,11 @@
 const (
 	StartKey     = "usage/start"    // the first window
 	ReportedKey  = "usage/reported" // the last window that was acknowledged
-	windowPrefix = "usage/window/"
+	WindowPrefix = "usage/window/"
 )
 
 // Key returns the key of a window's sealed object.
-func (w Window) Key() string { return windowPrefix + strconv.FormatInt(int64(w), 10) }
+func (w Window) Key() string { return WindowPrefix + strconv.FormatInt(int64(w), 10) }
 
 type mark struct {
 	Window Window `json:"window"`
--- a/internal/fleet/link/endpoint.go
+++ b/internal/fleet/link/endpoint.go
@@ -45,6 +45,8 @@
 type Config struct {
 	// Address is the IP:port to listen on; port 0 takes a free one.
 	Address string
+	// Socket, when set, is used instead of a UDP socket on Address.
+	Socket net.PacketConn
 	// Identity proves this host and checks peers.
 	Identity *identity.Source
 	Log      event.Log
@@ -75,16 +77,12 @@
 
 // Listen starts an endpoint.
 func Listen(config Config) (*Endpoint, error) {
-	address, err := netip.ParseAddrPort(config.Address)
-	if err != nil {
-		return nil, &AddressError{Address: config.Address, Err: err}
-	}
 	if config.Now == nil {
 		config.Now = time.Now
 	}
-	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	socket, err := open(config)
 	if err != nil {
-		return nil, &AddressError{Address: config.Address, Err: err}
+		return nil, err
 	}
 	e := &Endpoint{
 		config:    config,
@@ -104,6 +102,22 @@
 	return e, nil
 }
 
+// open returns the socket of an endpoint.
+func open(config Config) (net.PacketConn, error) {
+	if config.Socket != nil {
+		return config.Socket, nil
+	}
+	address, err := netip.ParseAddrPort(config.Address)
+	if err != nil {
+		return nil, &AddressError{Address: config.Address, Err: err}
+	}
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, &AddressError{Address: config.Address, Err: err}
+	}
+	return socket, nil
+}
+
 func settings() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:           handshakeTimeout,
--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -54,6 +54,7 @@
 	Steps      Steps
 	Ready      func() error
 	Vars       *expvar.Map
+	Status     func() any // what operators see of the host
 }
 
 // Handler returns the HTTP handler of the whole interface.
@@ -74,6 +75,7 @@
 	e.GET("/healthz", func(c echo.Context) error { return c.JSON(http.StatusOK, health{Status: "ok"}) })
 	e.GET("/readyz", s.ready)
 	e.GET("/debug/vars", s.vars)
+	e.GET("/debug/status", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Status()) })
 	return e
 }
 
--- a/internal/host/command/command.go
+++ b/internal/host/command/command.go
@@ -25,6 +25,8 @@
 	Demo    demoCommand    `cmd:"" help:"Run several hosts and stand-ins in this process and check every promise."`
 	Check   checkCommand   `cmd:"" help:"Check a document or a settings file."`
 	Submit  submitCommand  `cmd:"" help:"Submit a document and wait until it is in force."`
+	Status  statusCommand  `cmd:"" help:"Show hosts, zones, backend servers and leases."`
+	Report  reportCommand  `cmd:"" help:"Show reports."`
 	Key     keyCommand     `cmd:"" help:"Make keys and certificates."`
 	Events  eventsCommand  `cmd:"" help:"List the numbered events."`
 	Version versionCommand `cmd:"" help:"Show the version."`
--- a/internal/host/demo/site.go
+++ b/internal/host/demo/site.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/hyssopwall/hyssopwall/internal/site/settings"
 	"github.com/hyssopwall/hyssopwall/internal/standin/engine"
 	"github.com/hyssopwall/hyssopwall/internal/standin/fault"
+	"github.com/hyssopwall/hyssopwall/internal/standin/network"
 	"github.com/hyssopwall/hyssopwall/internal/standin/platform"
 	"github.com/hyssopwall/hyssopwall/internal/standin/scorer"
 	"github.com/hyssopwall/hyssopwall/internal/standin/service"
@@ -49,6 +51,8 @@
 	Store    object.Store
 	Document document.Document
 
+	Net *network.Net // between the hosts
+
 	options   Options
 	authority identity.Pair
 
@@ -68,7 +72,7 @@
 		return nil, err
 	}
 	s := &Site{
-		options: options, Document: doc, authority: authority,
+		options: options, Document: doc, authority: authority, Net: &network.Net{},
 		hosts: make(map[string]*server.Server), zones: make(map[string]string),
 	}
 	if err := s.start(ctx); err != nil {
@@ -171,6 +175,10 @@
 	if err != nil {
 		return err
 	}
+	socket, err := s.Net.Listen(zone, "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
 	started, err := server.Start(server.Config{
 		Settings: settings.Settings{
 			Host: name, Zone: zone, Listen: "127.0.0.1:0", Link: "127.0.0.1:0", Platform: s.Platform.URL(),
@@ -178,6 +186,7 @@
 		},
 		Identity: identity.Fixed(material, time.Now, s.options.Log),
 		Clock:    s.options.Clock,
+		Socket:   socket,
 		Log:      s.options.Log,
 	})
 	if err != nil {
@@ -208,6 +217,37 @@
 	return all
 }
 
+// Names returns the running hosts of a zone, or of all zones for "", in order.
+func (s *Site) Names(zone string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for name := range s.hosts {
+		if zone == "" || s.zones[name] == zone {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// CutPlatform cuts every host of a zone off from the platform, or joins it
+// again.
+func (s *Site) CutPlatform(zone string, cut bool) {
+	for _, name := range s.Names(zone) {
+		s.Platform.Cut(name, cut)
+	}
+}
+
+// CutZone cuts a zone off from all other zones, or joins it again.
+func (s *Site) CutZone(zone string, cut bool) {
+	for _, other := range s.Document.Zones {
+		if other.Name != zone {
+			s.Net.Cut(zone, other.Name, cut)
+		}
+	}
+}
+
 // URLs returns the addresses of all hosts for callers.
 func (s *Site) URLs() []string {
 	var urls []string
--- /dev/null
+++ b/internal/host/matrix/work_test.go
@@ -0,0 +1,207 @@
+package matrix_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/host/demo"
+	"github.com/hyssopwall/hyssopwall/internal/platform/rest"
+	"github.com/hyssopwall/hyssopwall/internal/standin/caller"
+	"github.com/hyssopwall/hyssopwall/internal/standin/engine"
+	"github.com/hyssopwall/hyssopwall/internal/standin/trainer"
+)
+
+// The size of a cell's work, and how often a caller repeats a request that it
+// may repeat.
+const (
+	requests = 6
+	tries    = 40
+	tokens   = 12
+)
+
+// tally is what the callers of a cell saw.
+type tally struct {
+	mu       sync.Mutex
+	served   int
+	refused  int // ended with a true refusal
+	unknown  int // ended with an unknown outcome
+	problems []string
+	samples  trainer.Report
+}
+
+func (t *tally) problem(format string, values ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.problems = append(t.problems, fmt.Sprintf(format, values...))
+}
+
+func (t *tally) count(to *int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	*to++
+}
+
+// do does the work of a cell, all requests at once, named by serial.
+func do(ctx context.Context, site *demo.Site, c cell, serial int) *tally {
+	t := &tally{}
+	if c.Work == "step" {
+		t.step(ctx, site, serial)
+		return t
+	}
+	var group sync.WaitGroup
+	for i := range requests {
+		name := fmt.Sprintf("%s cell %d request %d", c.Work, serial, i)
+		group.Go(func() { t.request(ctx, site, c.Work, name, int64(i)) })
+	}
+	group.Wait()
+	return t
+}
+
+// request sends a request and repeats it as its refusals allow.
+func (t *tally) request(ctx context.Context, site *demo.Site, work, name string, seed int64) {
+	client := &caller.Client{Hosts: site.URLs(), Key: "demo-" + site.Document.Site + "-" + workspace, Timeout: 20 * time.Second}
+	var last *caller.Error
+	for range tries {
+		err := t.send(ctx, client, work, name, seed)
+		if err == nil {
+			t.count(&t.served)
+			return
+		}
+		if !errors.As(err, &last) {
+			t.problem("%s: %v", name, err)
+			return
+		}
+		t.checkRefusal(site, work, name, last)
+		if final(work, last) {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	switch {
+	case last.Ran == "no":
+		t.count(&t.refused)
+	default:
+		t.count(&t.unknown)
+	}
+}
+
+// final reports whether a caller must not or need not send the request again.
+// A caller whose connection broke repeats: the idempotency key or the route
+// makes that safe.
+func final(_ string, e *caller.Error) bool {
+	if e.Code == caller.CodeLost || e.Code == "running" {
+		return false
+	}
+	return e.Code == "outcome_unknown" || e.Code == "already_ran" || e.Code == "bad_request" || e.Code == "conflict"
+}
+
+// checkRefusal checks that a request of which "not run" is said has not run.
+func (t *tally) checkRefusal(site *demo.Site, work, name string, e *caller.Error) {
+	if e.Code == "undocumented" {
+		t.problem("%s: undocumented error %s", name, e.Message)
+	}
+	if work != "keyed" || e.Ran != "no" || e.Code == caller.CodeLost {
+		return
+	}
+	if ran := executions(site, name); ran > 0 {
+		t.problem("%s: said not run, ran %d times", name, ran)
+	}
+}
+
+func executions(site *demo.Site, name string) int {
+	sum := 0
+	for _, one := range site.Supplier.Services() {
+		sum += one.Executions(name)
+	}
+	return sum
+}
+
+func (t *tally) send(ctx context.Context, client *caller.Client, work, name string, seed int64) error {
+	switch work {
+	case "completion":
+		return t.complete(ctx, client, name, seed)
+	case "stream":
+		return t.stream(ctx, client, name, seed)
+	case "call":
+		return t.call(ctx, client, "/v1/services/"+app+"/status", name, nil)
+	default:
+		return t.call(ctx, client, "/v1/services/"+app+"/quotes", name, http.Header{"Idempotency-Key": {name}})
+	}
+}
+
+type completion struct {
+	Model  string `json:"model"`
+	Prompt string `json:"prompt"`
+	Tokens int    `json:"max_tokens"`
+	Seed   int64  `json:"seed"`
+	Stream bool   `json:"stream"`
+}
+
+type completed struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Versions []uint64 `json:"versions"`
+}
+
+func (t *tally) complete(ctx context.Context, client *caller.Client, name string, seed int64) error {
+	answer, err := caller.Exchange[completed](ctx, client, http.MethodPost, "/v1/completions",
+		completion{Model: model, Prompt: name, Tokens: tokens, Seed: seed})
+	if err != nil {
+		return err
+	}
+	want, _ := engine.Text(name, seed, tokens)
+	if len(answer.Choices) != 1 || answer.Choices[0].Text != want {
+		t.problem("%s: wrong text", name)
+	}
+	return nil
+}
+
+func (t *tally) stream(ctx context.Context, client *caller.Client, name string, seed int64) error {
+	text, err := readStream(ctx, client, completion{Model: model, Prompt: name, Tokens: tokens, Seed: seed, Stream: true})
+	if err != nil {
+		return err
+	}
+	if want, _ := engine.Text(name, seed, tokens); text != want {
+		t.problem("%s: wrong streamed text %q, not %q", name, text, want)
+	}
+	return nil
+}
+
+func (t *tally) call(ctx context.Context, client *caller.Client, path, name string, header http.Header) error {
+	body, err := client.Do(ctx, rest.Call{Method: http.MethodPost, Path: path, Body: []byte(name), Header: header})
+	if err != nil {
+		return err
+	}
+	if string(body) != name {
+		t.problem("%s: answer of another request: %q", name, body)
+	}
+	return nil
+}
+
+// step runs one step of a trainer.
+func (t *tally) step(ctx context.Context, site *demo.Site, serial int) {
+	one := trainer.New(trainer.Settings{
+		Client: &caller.Client{Hosts: site.URLs(), Key: "demo-" + site.Document.Site + "-" + workspace},
+		Name:   "matrix", Model: model, Bound: 2, Tokens: tokens,
+		Groups: []trainer.Group{
+			{Prompt: fmt.Sprintf("cell %d group a", serial), Samples: 4, Seed: 1},
+			{Prompt: fmt.Sprintf("cell %d group b", serial), Samples: 4, Seed: 2},
+		},
+		Newest: func() uint64 { return site.Platform.Newest(model) },
+	})
+	one.Step(ctx, serial)
+	t.samples = one.Report()
+	if t.samples.Broken() > 0 {
+		t.problem("step %d: %+v", serial, t.samples)
+	}
+	t.served = t.samples.Whole * requests
+}
+
+// errorOf returns the error that an event of a stream carries.
+func errorOf(data string) bool { return strings.Contains(data, `"error"`) }
--- a/internal/host/server/duties.go
+++ b/internal/host/server/duties.go
@@ -104,7 +104,7 @@
 	duty := &weights.Duty{
 		Model:  pool.Name,
 		Fleet:  &engines{server: r.server},
-		Store:  &weightstore.Client{Base: r.server.config.Settings.Platform},
+		Store:  &weightstore.Client{Base: r.server.config.Settings.Platform, Source: r.server.config.Settings.Host},
 		Lease:  dutyLease{holder: r.server.leases, duty: dutyWeights},
 		Clock:  clock{},
 		Policy: weights.Policy{Floor: pool.Floor},
--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -51,7 +51,7 @@
 func newPeers(s *Server) *peers {
 	p := &peers{
 		server:    s,
-		lister:    &hostlist.Client{Base: s.config.Settings.Platform},
+		lister:    &hostlist.Client{Base: s.config.Settings.Platform, Source: s.config.Settings.Host},
 		addresses: make(map[string]bool),
 		known:     make(map[string]*peer),
 		pickers:   make(map[string]*route.Picker),
--- a/internal/host/server/server.go
+++ b/internal/host/server/server.go
@@ -52,6 +52,7 @@
 	Lease    lease.Config     // zero for the defaults
 	Clock    func() time.Time // of usage windows; nil means time.Now
 	Log      event.Log
+	Socket   net.PacketConn // of the link; nil for one on the settings' address
 }
 
 // Server is a running host. Use Start.
@@ -80,6 +81,7 @@
 	spread   *spread.Duty
 	draining atomic.Bool
 	vars     expvar.Map
+	requests expvar.Map
 
 	incarnation uint64 // grows with each start of the process
 	ctx         context.Context
@@ -94,10 +96,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{config: config, ctx: ctx, cancel: cancel, done: make(chan struct{}), incarnation: uint64(time.Now().UnixNano())}
 	base := config.Settings.Platform
-	s.store = &object.Client{Base: base}
-	s.supply = &supply.Client{Base: base}
+	s.store = &object.Client{Base: base, Source: config.Settings.Host}
+	s.supply = &supply.Client{Base: base, Source: config.Settings.Host}
 	var err error
-	s.endpoint, err = link.Listen(link.Config{Address: config.Settings.Link, Identity: config.Identity, Log: config.Log})
+	s.endpoint, err = link.Listen(link.Config{Address: config.Settings.Link, Socket: config.Socket, Identity: config.Identity, Log: config.Log})
 	if err != nil {
 		return nil, fmt.Errorf("listen for hosts: %w", err)
 	}
@@ -114,7 +116,7 @@
 // assemble builds the parts and joins them.
 func (s *Server) assemble(base string) {
 	set := s.config.Settings
-	s.weights = newReleases(&weightstore.Client{Base: base})
+	s.weights = newReleases(&weightstore.Client{Base: base, Source: set.Host})
 	s.home = home.New(home.Config{Host: set.Host, Zone: set.Zone, Dialer: dialer{}, Now: time.Now, Log: s.config.Log})
 	s.spread = spread.Start(spread.Config{
 		Endpoint: s.endpoint, Platform: s.store, Folder: spread.Folder{Path: set.Folder}, Log: s.config.Log,
@@ -124,17 +126,18 @@
 	caller := reach.Caller{Self: s.member(), Endpoint: s.endpoint, Fleet: s.peers}
 	s.claims = claims.New(claims.Config{Zone: set.Zone, Store: s.store, Caller: caller, Near: s.peers.near})
 	s.metering = metering.New(metering.Config{
-		Caller: caller, Store: s.store, Sink: &report.Client{Base: base}, Leases: s.leases,
+		Caller: caller, Store: s.store, Sink: &report.Client{Base: base, Source: set.Host}, Leases: s.leases,
 		Mates: s.peers.mates, All: s.peers.all, Now: s.usageClock(), Log: s.config.Log,
 	})
 	s.dispatch = dispatch.New(dispatch.Config{
 		Host: set.Host, Zone: set.Zone, Gate: &s.gate, Quota: &s.quota, Picker: &s.picker, Poison: &s.poison,
 		Local: s.home, Remote: forward.Remote{Endpoint: s.endpoint}, Fleet: s.peers,
-		Claims: s.claims, Meter: s.metering, Spread: s.peers.spreadMarks, Now: time.Now, Log: s.config.Log,
+		Claims: s.claims, Meter: s.metering, Observe: s.observe, Spread: s.peers.spreadMarks, Now: time.Now, Log: s.config.Log,
 	})
 	s.rolls = &rolls{server: s, duties: make(map[string]*rollout.Duty)}
 	s.serveEngines()
 	forward.Serve(s.endpoint, s.dispatch)
+	s.publish()
 	s.steps = steps.New(steps.Config{
 		Host: set.Host, Store: s.store, Generator: s.generator, Scorer: s.scorer, Weights: s.weights,
 		Gate: &s.gate, Fleet: s.peers, Endpoint: s.endpoint, Meter: s.metering, Log: s.config.Log,
@@ -142,6 +145,7 @@
 	handler := (&api.Server{
 		Gate: &s.gate, Index: s.index.Load, CutOff: s.peers.cutOff, Now: time.Now,
 		Dispatcher: s.dispatch, Steps: s.steps, Ready: s.ready, Vars: &s.vars,
+		Status: func() any { return s.Status() },
 	}).Handler()
 	s.web = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 }
--- a/internal/standin/platform/call.go
+++ b/internal/standin/platform/call.go
@@ -79,6 +79,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.count(call)
 		if p.isCut(r) {
+			p.refuseCall()
 			web.Drop()
 		}
 		if p.inOutage(w, r) || p.limited(w, call) || p.before(w, r, call) {
@@ -104,9 +105,11 @@
 	p.mu.Lock()
 	kind := p.outage
 	p.mu.Unlock()
-	switch kind {
-	case "":
+	if kind == "" {
 		return false
+	}
+	p.refuseCall()
+	switch kind {
 	case fault.DropBefore:
 		web.Drop()
 	case fault.Delay:
@@ -220,6 +223,19 @@
 	p.calls[call]++
 }
 
+func (p *Platform) refuseCall() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refused++
+}
+
+// Refused returns how many calls met an outage or a cut.
+func (p *Platform) Refused() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refused
+}
+
 // Calls returns how many calls of a kind have come, refused ones included.
 func (p *Platform) Calls(call Call) int {
 	p.mu.Lock()
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -61,6 +61,7 @@
 	calls    map[Call]int
 	cut      map[string]bool
 	outage   fault.Kind
+	refused  int // calls that met an outage or a cut
 	supply   supplyState
 	reports  reportState
 	hosts    hostState
