Check what goes to and comes from outside systems

Load figures decide where requests go, so an engine with a negative queue would draw all of them; an export without versions would make samples that can't name theirs; cache events that go back would hide a gap; a request without an ID would take any answer as its own. Each type checks itself after decoding and before sending, and a wrong value is known as not sent. One wrong entry of the server list is left out, since it must not hide that another server is leaving.

--- /dev/null
+++ b/internal/backend/engine/check.go
@@ -0,0 +1,77 @@
+package engine
+
+import "github.com/hyssopwall/hyssopwall/internal/fleet/wire"
+
+// Check returns a *wire.FieldError for a request whose answer could not be told
+// from another's, or that asks for what can't be.
+func (r Request) Check() error {
+	switch {
+	case r.ID == "":
+		return &wire.FieldError{Type: "engine.Request", Field: "ID", Reason: "is empty"}
+	case r.MaxTokens < 0:
+		return &wire.FieldError{Type: "engine.Request", Field: "MaxTokens", Reason: "is negative"}
+	case r.Resume != nil:
+		return r.Resume.Check()
+	}
+	return nil
+}
+
+// Check returns a *wire.FieldError for figures that no engine can have. Load
+// decides where requests go, so a negative figure would draw all of them.
+func (s State) Check() error {
+	switch {
+	case s.Running < 0:
+		return &wire.FieldError{Type: "engine.State", Field: "Running", Reason: "is negative"}
+	case s.Waiting < 0:
+		return &wire.FieldError{Type: "engine.State", Field: "Waiting", Reason: "is negative"}
+	case s.Slots < 0:
+		return &wire.FieldError{Type: "engine.State", Field: "Slots", Reason: "is negative"}
+	}
+	return nil
+}
+
+// Check returns a *wire.FieldError for a text without its versions: a sample
+// continued from it could not name what produced it.
+func (r Resume) Check() error {
+	switch {
+	case r.Tokens < 0:
+		return &wire.FieldError{Type: "engine.Resume", Field: "Tokens", Reason: "is negative"}
+	case r.Tokens == 0 && r.Text != "":
+		return &wire.FieldError{Type: "engine.Resume", Field: "Tokens", Reason: "is zero beside a text"}
+	case r.Tokens > 0 && len(r.Versions) == 0:
+		return &wire.FieldError{Type: "engine.Resume", Field: "Versions", Reason: "is empty"}
+	}
+	return nil
+}
+
+// Check returns a *wire.FieldError for a command that doesn't change exactly one
+// thing.
+func (c Command) Check() error {
+	if c.ID == "" {
+		return &wire.FieldError{Type: "engine.Command", Field: "ID", Reason: "is empty"}
+	}
+	changes := 0
+	for _, given := range []bool{c.Version != 0, c.Adapter != "", c.Role != ""} {
+		if given {
+			changes++
+		}
+	}
+	if changes != 1 {
+		return &wire.FieldError{Type: "engine.Command", Field: "Version, Adapter and Role", Reason: "must have exactly one set"}
+	}
+	return nil
+}
+
+// cacheEvents is the answer to a question for the events after a number.
+type cacheEvents []CacheEvent
+
+// check returns a *wire.FieldError unless the sequence numbers grow from after.
+func (c cacheEvents) check(after uint64) error {
+	for _, event := range c {
+		if event.Sequence <= after {
+			return &wire.FieldError{Type: "engine.CacheEvent", Field: "Sequence", Reason: "doesn't grow"}
+		}
+		after = event.Sequence
+	}
+	return nil
+}
--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -34,6 +34,9 @@
 	if err == nil {
 		return nil
 	}
+	if _, wrong := errors.AsType[*rest.ValueError](err); wrong {
+		return &BrokenError{ID: id, Reason: ReasonMalformed, Err: err}
+	}
 	status, ok := errors.AsType[*rest.StatusError](err)
 	if !ok {
 		lost, ok := errors.AsType[*rest.LostError](err)
--- a/internal/backend/engine/client_test.go
+++ b/internal/backend/engine/client_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"testing"
 	"time"
@@ -173,6 +175,44 @@
 		Expect(lax.Counts().Stale).To(Equal(1))
 	}, SpecTimeout(10*time.Second))
 
+	DescribeTable("takes no state, cache or export that can't be",
+		func(ctx SpecContext, body string, ask func(context.Context, *engine.Client) error) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, body)
+			}))
+			DeferCleanup(server.Close)
+			err := ask(ctx, &engine.Client{Base: server.URL})
+			broken, ok := errors.AsType[*engine.BrokenError](err)
+			Expect(ok).To(BeTrue(), "%v", err)
+			Expect(broken.Sent).To(BeTrue())
+		},
+		Entry("negative load", `{"running":-1}`, askState),
+		Entry("negative queue", `{"waiting":-1}`, askState),
+		Entry("negative slots", `{"slots":-1}`, askState),
+		Entry("no JSON", `{"slots":`, askState),
+		Entry("events that don't grow", `[{"sequence":8},{"sequence":8}]`, askCache),
+		Entry("events from before", `[{"sequence":7}]`, askCache),
+		Entry("text without versions", `{"text":"a ","tokens":1}`, askExport),
+		Entry("text without tokens", `{"text":"a ","versions":[1]}`, askExport),
+		Entry("negative tokens", `{"tokens":-1}`, askExport),
+	)
+
+	It("sends no command that changes nothing or two things, and no wrong request", func(ctx SpecContext) {
+		server, client := start(standin.Settings{Record: true})
+		for _, command := range []engine.Command{{ID: "c"}, {Version: 2}, {ID: "c", Version: 2, Role: "decode"}} {
+			broken, ok := errors.AsType[*engine.BrokenError](client.Apply(ctx, command))
+			Expect(ok).To(BeTrue())
+			Expect(broken.Sent).To(BeFalse())
+		}
+		for _, wrong := range []engine.Request{{Model: "quote-llm"}, {ID: "r", MaxTokens: -1}, {ID: "r", Resume: &engine.Resume{Tokens: 1}}} {
+			_, err := client.Run(ctx, wrong)
+			broken, ok := errors.AsType[*engine.BrokenError](err)
+			Expect(ok).To(BeTrue())
+			Expect(broken.Sent).To(BeFalse())
+		}
+		Expect(server.Received()).To(BeEmpty())
+	}, SpecTimeout(10*time.Second))
+
 	It("cancels by order and by closing the stream", func(ctx SpecContext) {
 		server, client := start(standin.Settings{Ticks: make(chan struct{})})
 		stream, err := client.Run(ctx, request("r-1"))
@@ -222,6 +262,21 @@
 	}, SpecTimeout(10*time.Second))
 })
 
+func askState(ctx context.Context, client *engine.Client) error {
+	_, err := client.State(ctx)
+	return err
+}
+
+func askCache(ctx context.Context, client *engine.Client) error {
+	_, err := client.CacheEvents(ctx, 7)
+	return err
+}
+
+func askExport(ctx context.Context, client *engine.Client) error {
+	_, err := client.Export(ctx, "r-1")
+	return err
+}
+
 func version(ctx context.Context, client *engine.Client) uint64 {
 	state, err := client.State(ctx)
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/backend/engine/commands.go
+++ b/internal/backend/engine/commands.go
@@ -10,6 +10,9 @@
 
 // Run implements Runner. The context covers the whole stream.
 func (c *Client) Run(ctx context.Context, request Request) (Stream, error) {
+	if err := request.Check(); err != nil {
+		return nil, &BrokenError{ID: request.ID, Reason: ReasonMalformed, Err: err}
+	}
 	data, err := json.Marshal(request)
 	if err != nil {
 		return nil, &BrokenError{ID: request.ID, Reason: ReasonMalformed, Err: err}
--- a/internal/backend/engine/queries.go
+++ b/internal/backend/engine/queries.go
@@ -20,6 +20,12 @@
 // CacheEvents implements Engine.
 func (c *Client) CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, error) {
 	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
-	events, err := rest.Get[[]CacheEvent](ctx, c.caller(), "/v1/cache", query)
-	return events, failure("cache", err)
+	events, err := rest.Get[cacheEvents](ctx, c.caller(), "/v1/cache", query)
+	if err != nil {
+		return nil, failure("cache", err)
+	}
+	if err := events.check(after); err != nil {
+		return nil, &BrokenError{ID: "cache", Reason: ReasonMalformed, Sent: true, Err: err}
+	}
+	return events, nil
 }
--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -34,6 +34,10 @@
 
 // Call implements Caller. It sends the request at most once.
 func (c *Client) Call(ctx context.Context, request Request) (Answer, error) {
+	if request.ID == "" {
+		// Any answer would be taken as the answer to this request.
+		return Answer{}, &BrokenError{Reason: ReasonConnect, Err: errors.New("request has no ID")}
+	}
 	caller := rest.Caller{Base: c.Base, HTTP: c.HTTP}
 	answer, err := caller.Open(ctx, rest.Call{
 		Method: request.Method,
--- a/internal/backend/service/client_test.go
+++ b/internal/backend/service/client_test.go
@@ -115,6 +115,19 @@
 		Expect(broken.Reason).To(Equal(service.ReasonTruncated))
 	}, SpecTimeout(10*time.Second))
 
+	It("sends no request whose answer could be another's", func(ctx SpecContext) {
+		server := standin.New(standin.Settings{})
+		Expect(server.Start("127.0.0.1:0")).To(Succeed())
+		DeferCleanup(server.Close)
+		nameless := request()
+		nameless.ID = ""
+		_, err := (&service.Client{Base: server.URL()}).Call(ctx, nameless)
+		broken, _ := errors.AsType[*service.BrokenError](err)
+		Expect(broken).NotTo(BeNil())
+		Expect(broken.Sent).To(BeFalse())
+		Expect(server.Total()).To(BeZero())
+	}, SpecTimeout(10*time.Second))
+
 	It("follows no redirect", func(ctx SpecContext) {
 		second := 0
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/platform/object/client.go
+++ b/internal/platform/object/client.go
@@ -19,8 +19,9 @@
 	return rest.Caller{Base: c.Base, Source: c.Source, HTTP: c.HTTP}
 }
 
-// RequestError says that the platform refused a call as wrong. Nothing was
-// written, and a repeat fails in the same way.
+// RequestError says that a call is wrong: the platform refused it, or it was not
+// sent and Status is zero. Nothing was written, and a repeat fails in the same
+// way.
 type RequestError struct {
 	Status  int
 	Code    string
@@ -28,7 +29,7 @@
 }
 
 func (e *RequestError) Error() string {
-	return "platform refused the request: " + e.Code + " " + e.Message
+	return "request to the platform is wrong: " + e.Code + " " + e.Message
 }
 
 // ReadFailure turns an error of package rest into one of this package, for a
@@ -60,6 +61,9 @@
 	if lost, ok := errors.AsType[*rest.LostError](err); ok && !lost.Sent {
 		return &OutageError{Err: err}
 	}
+	if wrong, ok := errors.AsType[*rest.ValueError](err); ok {
+		return &RequestError{Code: "malformed", Message: wrong.Err.Error()}
+	}
 	status, ok := errors.AsType[*rest.StatusError](err)
 	if !ok {
 		return &UnknownError{Key: key, Err: err}
--- /dev/null
+++ b/internal/platform/report/check.go
@@ -0,0 +1,19 @@
+package report
+
+import "github.com/hyssopwall/hyssopwall/internal/fleet/wire"
+
+// Check returns a *wire.FieldError for a report without an ID or a window.
+func (r Report) Check() error {
+	switch {
+	case r.ID == "":
+		return &wire.FieldError{Type: "report.Report", Field: "ID", Reason: "is empty"}
+	case !r.End.After(r.Start):
+		return &wire.FieldError{Type: "report.Report", Field: "End", Reason: "is not after Start"}
+	}
+	for _, line := range r.Lines {
+		if line.Workspace == "" {
+			return &wire.FieldError{Type: "report.Report", Field: "Lines.Workspace", Reason: "is empty"}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/supply/check.go
@@ -0,0 +1,33 @@
+package supply
+
+import "github.com/hyssopwall/hyssopwall/internal/fleet/wire"
+
+// Check returns a *wire.FieldError for an order that is not complete.
+func (o Order) Check() error {
+	field := ""
+	switch {
+	case o.ID == "":
+		field = "ID"
+	case o.Zone == "":
+		field = "Zone"
+	case o.Pool == "":
+		field = "Pool"
+	case o.Count < 0:
+		return &wire.FieldError{Type: "supply.Order", Field: "Count", Reason: "is negative"}
+	}
+	if field != "" {
+		return &wire.FieldError{Type: "supply.Order", Field: field, Reason: "is empty"}
+	}
+	return nil
+}
+
+// Check returns a *wire.FieldError for a server that can't be told from others.
+func (s Server) Check() error {
+	switch {
+	case s.Name == "":
+		return &wire.FieldError{Type: "supply.Server", Field: "Name", Reason: "is empty"}
+	case s.Zone == "":
+		return &wire.FieldError{Type: "supply.Server", Field: "Zone", Reason: "is empty"}
+	}
+	return nil
+}
--- a/internal/platform/supply/client.go
+++ b/internal/platform/supply/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"slices"
 
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 	"github.com/hyssopwall/hyssopwall/internal/platform/rest"
@@ -27,8 +28,12 @@
 	return object.WriteFailure(order.ID, order.Epoch, err)
 }
 
-// Servers implements Supply.
+// Servers implements Supply. An entry that can't be told from others is left
+// out, so that it doesn't hide that another server is leaving.
 func (c *Client) Servers(ctx context.Context, zone string) ([]Server, error) {
 	servers, err := rest.Get[[]Server](ctx, c.caller(), "/v1/servers", url.Values{"zone": {zone}})
-	return servers, object.ReadFailure(zone, err)
+	if err != nil {
+		return nil, object.ReadFailure(zone, err)
+	}
+	return slices.DeleteFunc(servers, func(s Server) bool { return s.Check() != nil }), nil
 }
--- a/internal/standin/engine/commands.go
+++ b/internal/standin/engine/commands.go
@@ -103,7 +103,7 @@
 	if e.boot == nil {
 		web.Drop()
 	}
-	if !complete(command) {
+	if command.Check() != nil {
 		return "malformed"
 	}
 	if command.Epoch < e.epoch {
@@ -122,16 +122,6 @@
 	return ""
 }
 
-func complete(command engine.Command) bool {
-	set := 0
-	for _, given := range []bool{command.Version != 0, command.Adapter != "", command.Role != ""} {
-		if given {
-			set++
-		}
-	}
-	return command.ID != "" && set == 1
-}
-
 func (e *Engine) ignores(command engine.Command) bool {
 	if e.settings.IgnoreFencing {
 		return true
--- a/internal/standin/platform/orders.go
+++ b/internal/standin/platform/orders.go
@@ -40,8 +40,8 @@
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		return malformed(err)
 	}
-	if order.ID == "" || order.Zone == "" || order.Pool == "" || order.Count < 0 {
-		return refuse(http.StatusBadRequest, rest.Problem{Code: "malformed", Message: "order is not complete"})
+	if err := order.Check(); err != nil {
+		return malformed(err)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -95,6 +95,29 @@
 		Expect(server.StaleOrders()).To(Equal(1))
 	}, SpecTimeout(10*time.Second))
 
+	It("sends no order or report that is not complete", func(ctx SpecContext) {
+		server := start(platform.Settings{})
+		for _, wrong := range []supply.Order{{Zone: "z", Pool: "p"}, {ID: "o", Pool: "p"}, {ID: "o", Zone: "z"}, {ID: "o", Zone: "z", Pool: "p", Count: -1}} {
+			_, ok := errors.AsType[*object.RequestError]((&supply.Client{Base: server.URL()}).Place(ctx, wrong))
+			Expect(ok).To(BeTrue())
+		}
+		for _, wrong := range []report.Report{{End: time.Unix(1, 0)}, {ID: "w"}, {ID: "w", End: time.Unix(1, 0), Lines: []report.Line{{}}}} {
+			_, ok := errors.AsType[*object.RequestError]((&report.Client{Base: server.URL()}).Send(ctx, wrong))
+			Expect(ok).To(BeTrue())
+		}
+		Expect(server.Calls(platform.Place) + server.Calls(platform.Report)).To(BeZero())
+	}, SpecTimeout(10*time.Second))
+
+	It("leaves out a server without a name or zone", func(ctx SpecContext) {
+		server := start(platform.Settings{})
+		for _, known := range []supply.Server{{Zone: "z"}, {Name: "a"}, {Name: "b", Zone: "z", Leaving: true}} {
+			server.AddServer(known)
+		}
+		servers, err := (&supply.Client{Base: server.URL()}).Servers(ctx, "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(servers).To(Equal([]supply.Server{{Name: "b", Zone: "z", Leaving: true}}))
+	}, SpecTimeout(10*time.Second))
+
 	It("reclaims the spot servers of a zone when the notice ends", func(ctx SpecContext) {
 		var runs starter
 		var now clock.Manual
--- a/internal/standin/platform/reports.go
+++ b/internal/standin/platform/reports.go
@@ -21,8 +21,8 @@
 	if err := json.NewDecoder(r.Body).Decode(&sent); err != nil {
 		return malformed(err)
 	}
-	if sent.ID == "" || !sent.End.After(sent.Start) {
-		return refuse(http.StatusBadRequest, rest.Problem{Code: "malformed", Message: "report is not complete"})
+	if err := sent.Check(); err != nil {
+		return malformed(err)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
