Open a stream without a race with the end of its context

Cause: the race detector found Stream.Cancel, run by the end of the opener's context, reading what Open was still writing.

Change: the watch on the context is kept in an atomic pointer.

--- a/internal/fleet/link/call.go
+++ b/internal/fleet/link/call.go
@@ -70,7 +70,8 @@
 		raw, openErr := c.raw.OpenStreamSync(ctx)
 		if openErr == nil {
 			stream := &Stream{peer: c.host, address: address, kind: kind, raw: raw, traffic: &e.traffic}
-			stream.stop = context.AfterFunc(ctx, stream.Cancel)
+			stop := context.AfterFunc(ctx, stream.Cancel)
+			stream.stop.Store(&stop)
 			return stream, nil
 		}
 		err = openErr
--- a/internal/fleet/link/stream.go
+++ b/internal/fleet/link/stream.go
@@ -23,7 +23,7 @@
 	kind    string
 	raw     *quic.Stream
 	traffic *meter
-	stop    func() bool
+	stop    atomic.Pointer[func() bool] // ends the watch on the opener's context
 
 	mu     sync.Mutex
 	opened bool // the kind frame has been written
@@ -89,8 +89,8 @@
 // Cancel gives up both directions. What the peer has not read yet may be lost.
 // It is harmless after the stream has ended.
 func (s *Stream) Cancel() {
-	if s.stop != nil {
-		s.stop()
+	if stop := s.stop.Load(); stop != nil {
+		(*stop)()
 	}
 	s.raw.CancelWrite(cancelCode)
 	s.raw.CancelRead(cancelCode)
