Keep the control of a host under 5 kB/s at 390 hosts; measure it

Change: the accepted object holds the change from the version before and the digest; a large document stands in an object of its own. The bridge is no longer a watcher, zone summaries travel every three seconds, and packets of an exchange carry no incarnation.

--- a/internal/fleet/roster/bridge.go
+++ b/internal/fleet/roster/bridge.go
@@ -163,7 +163,7 @@
 		}
 	}
 	own := s.zones[s.config.Self.Zone]
-	if s.rank() != 0 && own != nil && e.Packet.Step != lastStep {
+	if !s.isBridge() && own != nil && e.Packet.Step != lastStep {
 		named := own.ZoneNote
 		named.Zone, named.Bridge = own.name, own.bridge
 		s.sendZones(e.Address, int(lastStep), []ZoneNote{named})
--- a/internal/fleet/roster/exchange.go
+++ b/internal/fleet/roster/exchange.go
@@ -33,7 +33,7 @@
 	if step, due := s.inZone.due(s.now, stepCount(len(places)), cycle); due {
 		s.exchange(places, step)
 	}
-	if s.rank() != 0 {
+	if !s.isBridge() {
 		s.bridged = 0
 		return
 	}
@@ -43,13 +43,6 @@
 	}
 }
 
-// places returns the hosts of the in-zone ring, ordered.
-func (s *State) places() []string {
-	places := append(s.names(), s.self.Name)
-	slices.Sort(places)
-	return places
-}
-
 // exchange takes one step within the zone. At step 0 it is the probe too.
 func (s *State) exchange(places []string, step int) {
 	if step == 0 {
--- a/internal/fleet/roster/member.go
+++ b/internal/fleet/roster/member.go
@@ -21,8 +21,9 @@
 //     cycle a host sends what it received before step k to the host 2^k places
 //     on. The order of the places changes every few seconds, so that no broken
 //     link keeps a host from the same summaries for long.
-//  8. The bridge, the member of rank 0, exchanges zone summaries with the
-//     bridges of the other zones in the same way, every two seconds. Within
+//  8. The bridge, the member of rank 2 or else the last, exchanges zone summaries with the
+//     bridges of the other zones in the same way, every three seconds. (Ranks 0 and 1 watch the platform and serve what they
+//     read to the zone, which is load enough.) Within
 //     its zone it gives each of them to one other host, which starts the tree
 //     there, so that the bridge does not carry the trees of all zones.
 //  9. A zone summary names its zone and bridge in full now and then only.
--- a/internal/fleet/roster/packet.go
+++ b/internal/fleet/roster/packet.go
@@ -35,7 +35,7 @@
 type Packet struct {
 	Kind        Kind       `cbor:"1,keyasint"`
 	Number      uint32     `cbor:"2,keyasint,omitempty"`
-	Incarnation uint32     `cbor:"3,keyasint,omitempty"`
+	Incarnation uint32     `cbor:"3,keyasint,omitempty"` // zero in an Exchange that is no probe
 	Version     uint64     `cbor:"4,keyasint,omitempty"` // of the configuration in force
 	Target      string     `cbor:"5,keyasint,omitempty"`
 	Address     string     `cbor:"6,keyasint,omitempty"`
--- a/internal/fleet/roster/probe.go
+++ b/internal/fleet/roster/probe.go
@@ -34,25 +34,13 @@
 	return s.number
 }
 
-// names returns the other members that are alive or suspect, ordered.
-func (s *State) names() []string {
-	names := make([]string, 0, len(s.members))
-	for name, m := range s.members {
-		if m.Status <= Suspect {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
 func (s *State) askRelays() {
 	s.probe.indirect = true
 	target := s.members[s.probe.target]
 	if target == nil {
 		return
 	}
-	helpers := s.names()
+	helpers := slices.Clone(s.names())
 	s.rand.Shuffle(len(helpers), func(i, j int) { helpers[i], helpers[j] = helpers[j], helpers[i] })
 	asked := 0
 	for _, name := range helpers {
@@ -131,20 +119,12 @@
 	return lost
 }
 
-func (s *State) sortedNames() []string {
-	names := make([]string, 0, len(s.members))
-	for name := range s.members {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // bury forgets hosts that failed long ago and probes passed on in vain.
 func (s *State) bury() {
 	for name, m := range s.members {
 		if m.Status > Suspect && s.now.Sub(m.failed) > tombstone {
 			delete(s.members, name)
+			s.index = nil
 		}
 	}
 	for number, request := range s.relayed {
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -190,7 +190,7 @@
 		bridges := 0
 		for _, h := range z.Hosts {
 			view := h.Roster.View(z.Now)
-			if view.Rank == 0 {
+			if view.Bridge {
 				bridges++
 			}
 			for _, other := range view.Hosts {
@@ -222,10 +222,13 @@
 	It("find the new bridge of a zone whose bridge crashed", func() {
 		f := scale.New(scale.Plan{Hosts: 9, Zones: 3, Regions: 1, Seed: 1})
 		f.Run(20 * time.Second)
-		gone := f.Hosts[0]
+		gone := f.Hosts[6] // of the third rank in zone-00
 		f.Crash(gone)
 		f.Run(30 * time.Second)
-		for _, h := range f.Hosts[1:] {
+		for _, h := range f.Hosts {
+			if h == gone {
+				continue
+			}
 			view := h.Roster.View(f.Now)
 			Expect(view.Zones).To(HaveLen(3))
 			Expect(view.Zones[0].Bridge).NotTo(Equal(gone.Address))
--- a/internal/fleet/roster/state.go
+++ b/internal/fleet/roster/state.go
@@ -13,7 +13,7 @@
 	TickPeriod = 100 * time.Millisecond
 
 	cycle         = time.Second     // of probes and of summaries of hosts
-	zoneCycle     = 2 * time.Second // of summaries of zones
+	zoneCycle     = 3 * time.Second // of summaries of zones
 	directTimeout = 300 * time.Millisecond
 	suspicion     = 3 * time.Second
 	revivePeriod  = 5 * time.Second
@@ -54,6 +54,7 @@
 	actions []Action
 
 	members map[string]*member
+	index   *index // nil after a change of members
 	probe   probe
 	number  uint32
 	relayed map[uint32]relay
@@ -203,7 +204,9 @@
 
 // send completes a packet to a member of the zone and sends it.
 func (s *State) send(name, address string, packet Packet) {
-	packet.Incarnation = s.self.Incarnation
+	if packet.Kind != Exchange || packet.Number != 0 {
+		packet.Incarnation = s.self.Incarnation
+	}
 	packet.Version = s.version
 	packet.Updates = append(packet.Updates, s.takeUpdates(name)...)
 	s.do(Send{Address: address, Packet: packet})
--- a/internal/fleet/roster/update.go
+++ b/internal/fleet/roster/update.go
@@ -19,6 +19,9 @@
 func (s *State) meet(e Received) {
 	sender := Member{Name: e.From.Name, Address: e.Address, Incarnation: e.Packet.Incarnation}
 	known := s.members[sender.Name]
+	if sender.Incarnation == 0 {
+		return
+	}
 	if known == nil {
 		s.merge(sender)
 		return
@@ -47,6 +50,7 @@
 	}
 	before := known.Status
 	known.Member = m
+	s.index = nil
 	s.queue(m)
 	s.settle(known, before)
 }
@@ -99,12 +103,14 @@
 		return
 	}
 	s.self.Incarnation = m.Incarnation + 1
+	s.index = nil
 	s.queue(s.self)
 }
 
 func (s *State) leave() {
 	s.self.Status, s.leaving = Left, true
 	s.self.Incarnation++
+	s.index = nil
 	s.queue(s.self)
 	for _, name := range s.names() {
 		s.send(name, s.members[name].Address, Packet{Kind: Table, Updates: []Member{s.self}})
@@ -156,17 +162,6 @@
 	return taken
 }
 
-// digest sums up the table of members, so that two hosts see a difference.
-func (s *State) digest() uint32 {
-	sum := s.self.digest()
-	for _, m := range s.members {
-		if m.Status <= Suspect {
-			sum ^= m.digest()
-		}
-	}
-	return sum
-}
-
 func (m Member) digest() uint32 {
 	data := binary.BigEndian.AppendUint32([]byte(m.Name), m.Incarnation)
 	return uint32(xxhash.Sum64(data))
--- a/internal/fleet/roster/view.go
+++ b/internal/fleet/roster/view.go
@@ -17,9 +17,11 @@
 	Hosts []HostView
 	// Zones are all zones heard of lately, the own one included, by name.
 	Zones []ZoneView
-	// Rank is the place of this host among the members by age; the bridge has
-	// rank 0. It is -1 while the host leaves.
+	// Rank is the place of this host among the members by age, zero for the
+	// oldest. It is -1 while the host leaves.
 	Rank int
+	// Bridge reports whether this host is the bridge of its zone.
+	Bridge bool
 }
 
 // HostView is a member of the zone with its last summary.
@@ -45,7 +47,7 @@
 // View returns what the host knows now.
 func (s *State) View(now time.Time) View {
 	s.now = now
-	view := View{Self: s.config.Self, Rank: s.rank()}
+	view := View{Self: s.config.Self, Rank: s.rank(), Bridge: s.isBridge()}
 	for _, m := range s.counted() {
 		host := HostView{Member: m}
 		if m.Name == s.self.Name {
@@ -90,6 +92,19 @@
 // Rank returns the rank that View would show at the last step.
 func (s *State) Rank() int { return s.rank() }
 
+// bridgeRank is the rank of the bridge in a zone that has so many hosts.
+const bridgeRank = 2
+
+func (s *State) isBridge() bool {
+	hosts := 1
+	for _, name := range s.names() {
+		if !s.now.Before(s.members[name].hold) {
+			hosts++
+		}
+	}
+	return s.rank() == min(bridgeRank, hosts-1)
+}
+
 // rank orders the members by age, the oldest first, so that a new host does
 // not displace the bridge.
 func (s *State) rank() int {
--- /dev/null
+++ b/internal/fleet/scale/measure.go
@@ -0,0 +1,112 @@
+package scale
+
+import (
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/fleet/roster"
+)
+
+// warmUp is how long a fleet runs before anything is counted.
+const warmUp = 20 * time.Second
+
+// limit ends a wait that takes too long.
+const limit = 2 * time.Minute
+
+// Figures are what a fleet in steady state costs. Bytes are sent and received
+// together, for each second; platform bytes are the values that a host reads
+// there.
+type Figures struct {
+	Hosts              int
+	MeanBytes          float64
+	WorstBytes         float64 // of the host with the most
+	MeanMessages       float64 // packets sent, acknowledgments included
+	PlatformCalls      float64 // a second, of the whole fleet
+	WorstPlatformBytes float64
+}
+
+// Started returns a fleet with a first document in force everywhere.
+func Started(plan Plan) *Fleet {
+	f := New(plan)
+	f.Submit()
+	f.Run(warmUp)
+	return f
+}
+
+// Steady measures a fleet while operators change the configuration at the
+// rate of the plan.
+func (f *Fleet) Steady(d time.Duration) Figures {
+	f.Operate()
+	before := make([]Cost, len(f.Hosts))
+	for i, h := range f.Hosts {
+		before[i] = h.Cost
+	}
+	f.Run(d)
+	figures := Figures{Hosts: len(f.Hosts)}
+	share := 1 / (d.Seconds() * float64(len(f.Hosts)))
+	for i, h := range f.Hosts {
+		c := h.Cost.Less(before[i])
+		figures.MeanBytes += float64(c.Bytes()) * share
+		figures.MeanMessages += float64(c.SentPackets) * share
+		figures.PlatformCalls += float64(c.PlatformCalls) / d.Seconds()
+		figures.WorstBytes = max(figures.WorstBytes, float64(c.Bytes())/d.Seconds())
+		figures.WorstPlatformBytes = max(figures.WorstPlatformBytes, float64(c.PlatformBytes)/d.Seconds())
+	}
+	return figures
+}
+
+// Spread submits a number of changes, one after the other, and returns the
+// longest time until one was in force on every host that is up. It reports
+// false when one was not in force within two minutes.
+func (f *Fleet) Spread(changes int) (time.Duration, bool) {
+	longest := time.Duration(0)
+	for range changes {
+		version := f.Submit()
+		took, ok := f.RunUntil(limit, func() bool { return f.InForce(version) })
+		if !ok {
+			return took, false
+		}
+		longest = max(longest, took)
+		f.Run(time.Duration(f.Rand.Int64N(int64(2 * time.Second))))
+	}
+	return longest, true
+}
+
+// Detect crashes a number of hosts, one after the other, each of another zone,
+// and returns the longest time until every host of its zone held it failed.
+func (f *Fleet) Detect(crashes int) (time.Duration, bool) {
+	longest := time.Duration(0)
+	for i := range crashes {
+		zone := f.Zone(i % f.Plan.Zones)
+		gone := zone[(i*7+1)%len(zone)]
+		failed := 0
+		f.Watch = func(_ *Host, m roster.Member) {
+			if m.Name == gone.Name && m.Status == roster.Failed {
+				failed++
+			}
+		}
+		f.Crash(gone)
+		took, ok := f.RunUntil(limit, func() bool { return failed >= len(zone)-1 })
+		if !ok {
+			return took, false
+		}
+		longest = max(longest, took)
+		f.Boot(gone, uint32(f.Now.Unix()))
+		f.Run(10 * time.Second)
+	}
+	f.Watch = nil
+	return longest, true
+}
+
+// FalseFailures runs a fleet in which nothing fails and returns how often a
+// host declared another one failed.
+func (f *Fleet) FalseFailures(d time.Duration) int {
+	count := 0
+	f.Watch = func(_ *Host, m roster.Member) {
+		if m.Status == roster.Failed {
+			count++
+		}
+	}
+	f.Run(d)
+	f.Watch = nil
+	return count
+}
--- a/internal/fleet/scale/platform.go
+++ b/internal/fleet/scale/platform.go
@@ -20,7 +20,8 @@
 // platform holds the accepted document and the watches that wait for it.
 type platform struct {
 	accepted spread.Accepted
-	bytes    int
+	record   spread.Record
+	bytes    int // of the record
 }
 
 // poll reads the platform or waits there for a change.
@@ -52,6 +53,10 @@
 	accepted := f.platform.accepted
 	h.parked, h.seen = false, accepted.Version
 	h.Cost.PlatformBytes += uint64(f.platform.bytes)
+	if _, ok := f.platform.record.Resolve(h.Spread.Accepted); !ok {
+		h.Cost.PlatformCalls++
+		h.Cost.PlatformBytes += uint64(len(accepted.Body))
+	}
 	f.After(platformDelay, func() {
 		if h.start != start {
 			return
@@ -74,11 +79,12 @@
 	for i := range min(f.Plan.Edit, f.Plan.Document) {
 		next.Body[at+i] = byte(f.Rand.Uint32())
 	}
-	data, err := wire.Encode(next)
+	record := spread.NewRecord(next, f.platform.accepted)
+	data, err := wire.Encode(record)
 	if err != nil {
 		panic(err)
 	}
-	f.platform = platform{accepted: next, bytes: len(data)}
+	f.platform = platform{accepted: next, record: record, bytes: len(data)}
 	for _, h := range f.Hosts {
 		if h.parked && (f.CutOff == nil || !f.CutOff(h)) {
 			f.deliver(h, h.start)
--- a/internal/fleet/spread/accept.go
+++ b/internal/fleet/spread/accept.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -24,6 +23,9 @@
 	At   time.Time
 	Base uint64
 	Body []byte
+	// Previous is the document of version Base, if at hand. With it, watchers
+	// read the change of a large document only.
+	Previous Accepted
 	// ID is unique to the submission; empty means a random one. A caller that
 	// submits again after an unclear outcome gives the same ID.
 	ID string
@@ -77,11 +79,7 @@
 	if err := next.Check(); err != nil {
 		return Accepted{}, err
 	}
-	value, err := wire.Encode(next)
-	if err != nil {
-		return Accepted{}, err
-	}
-	attempt := &attempt{store: store, next: next, value: value}
+	attempt := &attempt{store: store, next: next, previous: submission.Previous}
 	for {
 		done, err := attempt.once(ctx)
 		if done || err != nil && !attempt.again(ctx, err) {
@@ -96,10 +94,11 @@
 // attempt is a submission under way. unclear is set once a write may have
 // taken effect without an answer.
 type attempt struct {
-	store   object.Store
-	next    Accepted
-	value   []byte
-	unclear bool
+	store    object.Store
+	next     Accepted
+	previous Accepted
+	unclear  bool
+	bodied   bool // the document stands in its own object
 }
 
 // once reads the object and writes the next version when nothing newer is
@@ -109,18 +108,64 @@
 	if err != nil {
 		return false, err
 	}
-	if current.Version == a.next.Version && current.ID == a.next.ID && bytes.Equal(current.Body, a.next.Body) {
+	if current.Version == a.next.Version && current.ID == a.next.ID {
 		return true, nil
 	}
 	base := a.next.Version - 1
 	if current.Version > base {
+		a.remove(ctx, a.next.ID)
 		return true, &ConflictError{Base: base, Have: current.Version, By: current.By}
 	}
 	if current.Version < base {
 		return false, nil // an old read; the operator has seen a newer version
 	}
-	_, err = a.store.Put(ctx, Key, a.value, revision)
-	return err == nil, err
+	return a.write(ctx, current, revision)
+}
+
+// write stores a large document, then the record that puts it into force.
+func (a *attempt) write(ctx context.Context, current Record, revision uint64) (bool, error) {
+	if a.previous.ID != current.ID {
+		a.previous, _ = current.with(current.Body)
+	}
+	record := NewRecord(a.next, a.previous)
+	if record.large() && !a.bodied {
+		if err := a.storeBody(ctx); err != nil {
+			return false, err
+		}
+	}
+	value, err := wire.Encode(record)
+	if err != nil {
+		return true, err
+	}
+	if _, err := a.store.Put(ctx, Key, value, revision); err != nil {
+		return false, err
+	}
+	a.remove(ctx, current.Before)
+	return true, nil
+}
+
+// storeBody writes the document's own object. A conflict means that an earlier
+// attempt has written it.
+func (a *attempt) storeBody(ctx context.Context) error {
+	_, err := a.store.Put(ctx, BodyKey(a.next.ID), a.next.Body, 0)
+	var conflict *object.ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		return err
+	}
+	a.bodied = true
+	return nil
+}
+
+// remove deletes the object of a document that nobody reads any more. One that
+// stays after a failure costs its room only.
+func (a *attempt) remove(ctx context.Context, id string) {
+	if id == "" {
+		return
+	}
+	found, err := a.store.Get(ctx, BodyKey(id))
+	if err == nil {
+		_ = a.store.Delete(ctx, BodyKey(id), found.Version)
+	}
 }
 
 // again reports whether an error is worth another look at the platform.
@@ -152,19 +197,19 @@
 	return Accepted{}, &OutcomeError{ID: a.next.ID, Err: err}
 }
 
-// read returns the accepted document and the object version to expect; both
-// are zero when there is none.
-func read(ctx context.Context, store object.Reader) (Accepted, uint64, error) {
+// read returns the record and the object version to expect; both are zero when
+// there is none.
+func read(ctx context.Context, store object.Reader) (Record, uint64, error) {
 	current, err := store.Get(ctx, Key)
 	var missing *object.NotFoundError
 	if errors.As(err, &missing) {
-		return Accepted{}, 0, nil
+		return Record{}, 0, nil
 	}
 	if err != nil {
-		return Accepted{}, 0, err
+		return Record{}, 0, err
 	}
-	accepted, err := wire.Decode[Accepted](current.Value)
-	return accepted, current.Version, err
+	record, err := wire.Decode[Record](current.Value)
+	return record, current.Version, err
 }
 
 func pause(ctx context.Context, wait time.Duration) error {
--- a/internal/fleet/spread/accept_test.go
+++ b/internal/fleet/spread/accept_test.go
@@ -1,6 +1,7 @@
 package spread_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"time"
@@ -12,16 +13,23 @@
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 )
 
-// store holds one object. before runs ahead of each Put and may replace its
-// outcome.
+// store holds the record and the documents. before runs ahead of the next Put
+// of a record and may replace its outcome.
 type store struct {
 	object.Store
 	now    object.Object
+	bodies map[string][]byte
 	stale  []object.Object // answers of the next reads
 	before func(put func() error) error
 }
 
-func (s *store) Get(context.Context, string) (object.Object, error) {
+func (s *store) Get(_ context.Context, key string) (object.Object, error) {
+	if key != spread.Key {
+		if body, ok := s.bodies[key]; ok {
+			return object.Object{Key: key, Version: 1, Value: body}, nil
+		}
+		return object.Object{}, &object.NotFoundError{Key: key}
+	}
 	current := s.now
 	if len(s.stale) > 0 {
 		current, s.stale = s.stale[0], s.stale[1:]
@@ -33,6 +41,16 @@
 }
 
 func (s *store) Put(_ context.Context, key string, value []byte, expect uint64) (object.Object, error) {
+	if key != spread.Key {
+		if s.bodies == nil {
+			s.bodies = make(map[string][]byte)
+		}
+		if s.bodies[key] != nil {
+			return object.Object{}, &object.ConflictError{Key: key, Have: 1}
+		}
+		s.bodies[key] = value
+		return object.Object{}, nil
+	}
 	put := func() error {
 		if s.now.Version != expect {
 			return &object.ConflictError{Key: key, Want: expect, Have: s.now.Version}
@@ -47,6 +65,11 @@
 	return s.now, put()
 }
 
+func (s *store) Delete(_ context.Context, key string, _ uint64) error {
+	delete(s.bodies, key)
+	return nil
+}
+
 var errLost = errors.New("answer lost")
 
 var _ = Describe("Accept", func() {
@@ -131,6 +154,34 @@
 		Expect(errors.As(err, &unknown)).To(BeTrue())
 		Expect(unknown.ID).NotTo(BeEmpty())
 	})
+	It("keeps a large document in its own object and its change in the record", func(ctx SpecContext) {
+		s, body := &store{}, bytes.Repeat([]byte("-"), 64<<10)
+		previous := spread.Accepted{}
+		for base := range uint64(4) {
+			next := bytes.Clone(body)
+			next[100+base] = 'x'
+			accepted, err := spread.Accept(ctx, s, spread.Submission{By: "a", Base: base, Body: next, Previous: previous})
+			Expect(err).NotTo(HaveOccurred())
+			got, err := spread.Get(ctx, s)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(got.Body).To(Equal(next))
+			Expect(len(s.now.Value)).To(BeNumerically("<", 1<<10))
+			previous = accepted
+		}
+		Expect(len(s.bodies)).To(BeNumerically("<=", 3), "old documents are removed")
+	})
+	It("removes the large document of a submission that lost the race", func(ctx SpecContext) {
+		s := &store{}
+		s.before = func(put func() error) error {
+			_, err := accept(ctx, s, "b", 0)
+			Expect(err).NotTo(HaveOccurred())
+			return put()
+		}
+		_, err := spread.Accept(ctx, s, spread.Submission{By: "a", Body: make([]byte, 64<<10)})
+		var conflict *spread.ConflictError
+		Expect(errors.As(err, &conflict)).To(BeTrue())
+		Expect(s.bodies).To(BeEmpty())
+	})
 	It("reports an outage before any write as it is", func(ctx SpecContext) {
 		s := &store{before: func(func() error) error { return &object.OutageError{Err: errLost} }}
 		_, err := accept(ctx, s, "a", 0)
--- a/internal/fleet/spread/duty_test.go
+++ b/internal/fleet/spread/duty_test.go
@@ -21,16 +21,20 @@
 	object.Reader
 	mu      sync.Mutex
 	now     object.Object
+	bodies  map[string][]byte
 	changed chan struct{}
 }
 
-func newPlatform() *platform { return &platform{changed: make(chan struct{})} }
+func newPlatform() *platform {
+	return &platform{changed: make(chan struct{}), bodies: make(map[string][]byte)}
+}
 
 func (p *platform) set(accepted spread.Accepted) {
-	value, err := wire.Encode(accepted)
+	value, err := wire.Encode(spread.NewRecord(accepted, spread.Accepted{}))
 	Expect(err).NotTo(HaveOccurred())
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.bodies[spread.BodyKey(accepted.ID)] = accepted.Body
 	p.now = object.Object{Key: spread.Key, Version: p.now.Version + 1, Value: value}
 	close(p.changed)
 	p.changed = make(chan struct{})
@@ -45,6 +49,16 @@
 	return object.Batch{Objects: []object.Object{p.now}, Revision: p.now.Version}, p.changed
 }
 
+func (p *platform) Get(_ context.Context, key string) (object.Object, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	body, ok := p.bodies[key]
+	if !ok {
+		return object.Object{}, &object.NotFoundError{Key: key}
+	}
+	return object.Object{Key: key, Version: 1, Value: body}, nil
+}
+
 func (p *platform) List(context.Context, string) (object.Batch, error) {
 	batch, _ := p.batch()
 	return batch, nil
@@ -109,6 +123,22 @@
 		}
 	})
 
+	It("reads a large document from its own object, and again when it is gone", func(ctx SpecContext) {
+		platform := newPlatform()
+		large := document("1")
+		large.Body = make([]byte, 64<<10)
+		platform.set(large)
+		delete(platform.bodies, spread.BodyKey(large.ID))
+		watcher := start(spread.Config{Endpoint: endpoint("h1"), Platform: platform})
+		watcher.Rank(1)
+		next := document("2")
+		next.Body = make([]byte, 65<<10)
+		platform.set(next)
+		Eventually(ctx, watcher.Version).Should(Equal(uint64(2)))
+		current, _ := watcher.Current()
+		Expect(current.Body).To(Equal(next.Body))
+	})
+
 	It("starts from the data folder when nothing else can be reached", func() {
 		folder := spread.Folder{Path: GinkgoT().TempDir()}
 		Expect(folder.Save(document("4"))).To(Succeed())
--- /dev/null
+++ b/internal/fleet/spread/read.go
@@ -0,0 +1,42 @@
+package spread
+
+import (
+	"context"
+
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+)
+
+// DigestError says that a stored document is not the one that was accepted.
+type DigestError struct {
+	ID string
+}
+
+func (e *DigestError) Error() string {
+	return "document " + e.ID + " does not match its digest"
+}
+
+// Get reads the accepted document from the platform, for a process that is no
+// host. It returns the zero value when none was accepted yet.
+func Get(ctx context.Context, store object.Reader) (Accepted, error) {
+	record, _, err := read(ctx, store)
+	if err != nil || record.Version == 0 {
+		return Accepted{}, err
+	}
+	if accepted, ok := record.Resolve(Accepted{}); ok {
+		return accepted, nil
+	}
+	return whole(ctx, store, record)
+}
+
+// whole reads a large document from its own object.
+func whole(ctx context.Context, store object.Reader, record Record) (Accepted, error) {
+	found, err := store.Get(ctx, BodyKey(record.ID))
+	if err != nil {
+		return Accepted{}, err
+	}
+	accepted, ok := record.with(found.Value)
+	if !ok {
+		return Accepted{}, &DigestError{ID: record.ID}
+	}
+	return accepted, nil
+}
--- /dev/null
+++ b/internal/fleet/spread/record.go
@@ -0,0 +1,94 @@
+package spread
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+)
+
+// bodyPrefix starts the keys of the objects that hold large documents.
+const bodyPrefix = "document/body/"
+
+// Bounds in bytes of what a record holds itself. Watchers read every record,
+// so it stays small whatever the size of the document.
+const (
+	maxInline = 4 << 10
+	maxChange = 8 << 10
+)
+
+// BodyKey returns the key of the object that holds a large document.
+func BodyKey(id string) string { return bodyPrefix + id }
+
+// Record is the value of the object Key. It holds a small document itself; of
+// a large one it holds the change from the version before, and the document
+// stands in an object of its own, written before the record.
+type Record struct {
+	Version uint64    `cbor:"1,keyasint"`
+	By      string    `cbor:"2,keyasint"`
+	At      time.Time `cbor:"3,keyasint"`
+	ID      string    `cbor:"4,keyasint"`
+	Body    []byte    `cbor:"5,keyasint,omitempty"`
+	Digest  uint64    `cbor:"6,keyasint"`
+	Change  *Delta    `cbor:"7,keyasint,omitempty"`
+	// Before is the ID of the version before, whose document may be removed
+	// once the next version is accepted.
+	Before string `cbor:"8,keyasint,omitempty"`
+}
+
+// Check implements wire.Message.
+func (r Record) Check() error {
+	if r.Version == 0 {
+		return &wire.FieldError{Type: "Record", Field: "Version", Reason: "is zero"}
+	}
+	if len(r.Body) > object.MaxValue {
+		return &wire.FieldError{Type: "Record", Field: "Body", Reason: "is too long"}
+	}
+	return nil
+}
+
+// NewRecord returns the record of a document. previous is the document of the
+// version before, or the zero value when it is not at hand.
+func NewRecord(next, previous Accepted) Record {
+	r := Record{
+		Version: next.Version,
+		By:      next.By,
+		At:      next.At,
+		ID:      next.ID,
+		Digest:  xxhash.Sum64(next.Body),
+		Before:  previous.ID,
+	}
+	if len(next.Body) <= maxInline {
+		r.Body = next.Body
+		return r
+	}
+	if previous.Version > 0 && previous.Version+1 == next.Version {
+		change := diff(previous, next)
+		if len(change.Middle) <= maxChange {
+			r.Change = &change
+		}
+	}
+	return r
+}
+
+// Resolve returns the document from the record alone, or from the one that the
+// caller has. It reports false when the whole document has to be read.
+func (r Record) Resolve(have Accepted) (Accepted, bool) {
+	if r.Change != nil {
+		if next, ok := r.Change.apply(have); ok {
+			return next, true
+		}
+	}
+	return r.with(r.Body)
+}
+
+// with returns the document when the body is the one that was accepted.
+func (r Record) with(body []byte) (Accepted, bool) {
+	whole := Accepted{Version: r.Version, By: r.By, At: r.At, ID: r.ID, Body: body}
+	return whole, xxhash.Sum64(body) == r.Digest
+}
+
+// large reports whether the document stands in an object of its own.
+func (r Record) large() bool { return xxhash.Sum64(r.Body) != r.Digest }
--- a/internal/fleet/spread/watch.go
+++ b/internal/fleet/spread/watch.go
@@ -49,12 +49,17 @@
 			retry = min(2*retry, lastRetry)
 			continue
 		}
+		if err := d.offer(ctx, batch); err != nil {
+			listed = false // the document was replaced meanwhile, or can't be read now
+			_ = pause(ctx, retry/2+rand.N(retry))
+			retry = min(2*retry, lastRetry)
+			continue
+		}
 		if lost {
 			d.config.Log.Emit(event.PlatformBack)
 		}
 		listed, lost, retry = true, false, firstRetry
 		after = batch.Revision
-		d.offer(batch)
 	}
 }
 
@@ -68,16 +73,35 @@
 	return d.config.Platform.Watch(ctx, Key, after)
 }
 
-func (d *Duty) offer(batch object.Batch) {
+func (d *Duty) offer(ctx context.Context, batch object.Batch) error {
 	for _, found := range batch.Objects {
 		if found.Key != Key || found.Deleted {
 			continue
 		}
-		accepted, err := wire.Decode[Accepted](found.Value)
+		record, err := wire.Decode[Record](found.Value)
 		if err != nil {
 			d.config.Log.Emit(event.ConfigurationUnreadable, "err", err.Error())
 			continue
 		}
+		accepted, err := d.resolve(ctx, record)
+		if err != nil {
+			return err
+		}
 		d.put(Read{Accepted: accepted})
 	}
+	return nil
+}
+
+// resolve returns the document of a record, from the platform when the one in
+// force does not lead to it.
+func (d *Duty) resolve(ctx context.Context, record Record) (Accepted, error) {
+	have, _ := d.Current()
+	if record.Version <= have.Version && record.ID == have.ID {
+		return have, nil
+	}
+	accepted, ok := record.Resolve(have)
+	if ok {
+		return accepted, nil
+	}
+	return whole(ctx, d.config.Platform, record)
 }
