Doubt failed peers without cutting their streams; re-admit after a change of authority

Cause: closing the connection of a host that others call failed, or that leaves as planned, would cut requests in flight; a connection outlived the trust in the authority that vouched for it. Change: a doubted connection takes nothing new and is closed only when its peer stops acknowledging; certificates are checked again when the own files change. Scripted cases for late packets, slow, paused and clock-stepped hosts.

--- a/internal/fleet/identity/source.go
+++ b/internal/fleet/identity/source.go
@@ -32,6 +32,7 @@
 
 	mu      sync.Mutex
 	current Material
+	loads   uint64
 	digest  [sha256.Size]byte
 	looked  time.Time
 }
@@ -67,6 +68,15 @@
 	return s.current
 }
 
+// Loads counts how often the material has changed. A peer that was admitted
+// under an earlier count has to be admitted again.
+func (s *Source) Loads() uint64 {
+	s.Current()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loads
+}
+
 // Host returns the host that the certificate names.
 func (s *Source) Host() Host { return s.Current().Host }
 
@@ -94,6 +104,7 @@
 		}
 	}
 	s.current, s.digest = material, digest
+	s.loads++
 	return nil
 }
 
--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -4,6 +4,11 @@
 	"context"
 	"errors"
 	"io"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -259,6 +264,88 @@
 	})
 })
 
+var _ = Describe("a doubted peer", func() {
+	It("keeps its streams while it acknowledges", func(ctx SpecContext) {
+		all := newSite()
+		a, b := all.endpoint("a", "z1"), all.endpoint("b", "z1")
+		proceed := make(chan struct{})
+		b.Handle("slow", func(_ context.Context, _ identity.Host, stream *link.Stream) error {
+			<-proceed
+			return link.Send(stream, text{Value: "whole"})
+		})
+		stream, err := a.Open(ctx, b.Address(), "slow")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stream.CloseWrite()).To(Succeed())
+		a.Doubt(b.Address())
+		Expect(a.Wire().Connections).To(BeZero())
+		Eventually(ctx, func() int { return a.Wire().Connections }).Should(Equal(1))
+		close(proceed)
+		answer, err := link.Receive[text](stream)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Value).To(Equal("whole"))
+	})
+
+	It("is given up when it is silent", func(ctx SpecContext) {
+		all := newSite()
+		a := all.endpoint("a", "z1")
+		wire := newLossy()
+		b := all.endpoint("b", "z1")
+		begun := make(chan struct{})
+		b.Handle("hang", func(ctx context.Context, _ identity.Host, _ *link.Stream) error {
+			close(begun)
+			<-ctx.Done()
+			return nil
+		})
+		bounded, cancel := context.WithTimeout(ctx, 30*time.Second) // half of the idle timeout
+		defer cancel()
+		stream, err := a.Open(bounded, wire.before(b.Address()), "hang")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stream.CloseWrite()).To(Succeed())
+		Eventually(ctx, begun).Should(BeClosed())
+		wire.cut.Store(true)
+		a.Doubt(stream.Address())
+		_, err = link.Receive[text](stream)
+		Expect(err).To(HaveOccurred())
+		Expect(bounded.Err()).NotTo(HaveOccurred())
+	})
+})
+
+// lossy passes packets between two addresses until it is cut.
+type lossy struct {
+	cut    atomic.Bool
+	socket *net.UDPConn
+}
+
+func newLossy() *lossy {
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(socket.Close)
+	return &lossy{socket: socket}
+}
+
+// before returns an address at which packets for target are passed on.
+func (l *lossy) before(target string) string {
+	to := netip.MustParseAddrPort(target)
+	go func() {
+		var client netip.AddrPort
+		buffer := make([]byte, 2048)
+		for {
+			n, from, err := l.socket.ReadFromUDPAddrPort(buffer)
+			if err != nil {
+				return
+			}
+			next := client
+			if from != to {
+				client, next = from, to
+			}
+			if !l.cut.Load() {
+				_, _ = l.socket.WriteToUDPAddrPort(buffer[:n], next)
+			}
+		}
+	}()
+	return l.socket.LocalAddr().String()
+}
+
 var _ = Describe("a peer that is turned away", func() {
 	var all *site
 	BeforeEach(func() { all = newSite() })
@@ -305,6 +392,40 @@
 		Expect(wrong.Reason).To(Equal(identity.WrongZone))
 	})
 
+	It("has a certificate of an authority that is trusted no more", func(ctx SpecContext) {
+		folder := GinkgoT().TempDir()
+		files := identity.Files{
+			Certificate: filepath.Join(folder, "b.pem"),
+			Key:         filepath.Join(folder, "b.key"),
+			Authorities: filepath.Join(folder, "authorities.pem"),
+		}
+		next := newSite()
+		host := identity.Host{Name: "b", Zone: "z1"}
+		pair, err := identity.Issue(next.authority, host, time.Now(), time.Hour)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(pair.Write(files.Certificate, files.Key)).To(Succeed())
+		both := slices.Concat(all.authority.Certificate, next.authority.Certificate)
+		Expect(os.WriteFile(files.Authorities, both, 0o600)).To(Succeed())
+		var ahead atomic.Int64
+		now := func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+		source, err := identity.Open(files, now, all.log())
+		Expect(err).NotTo(HaveOccurred())
+		b := listen(link.Config{Identity: source})
+		echo(b)
+
+		pair, err = identity.Issue(all.authority, identity.Host{Name: "a", Zone: "z1"}, time.Now(), time.Hour)
+		Expect(err).NotTo(HaveOccurred())
+		material, err := identity.Assemble(pair, both)
+		Expect(err).NotTo(HaveOccurred())
+		a := listen(link.Config{Identity: identity.Fixed(material, time.Now, all.log())})
+		_, err = link.Call[text, text](ctx, a, b.Address(), "echo", text{})
+		Expect(err).NotTo(HaveOccurred())
+
+		Expect(os.WriteFile(files.Authorities, next.authority.Certificate, 0o600)).To(Succeed())
+		ahead.Store(int64(time.Minute))
+		refused(ctx, a, b)
+	})
+
 	It("let its certificate run out on an open connection", func(ctx SpecContext) {
 		var ahead atomic.Int64
 		now := func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
--- a/internal/fleet/link/note.go
+++ b/internal/fleet/link/note.go
@@ -1,6 +1,9 @@
 package link
 
-import "fmt"
+import (
+	"fmt"
+	"net/netip"
+)
 
 // MaxNote is the largest note in bytes, its kind included. It fits the
 // smallest packet that QUIC allows.
@@ -52,17 +55,16 @@
 	}
 }
 
-func (e *Endpoint) takeNotes(c *connection, address string) {
+func (e *Endpoint) takeNotes(c *connection, address netip.AddrPort) {
 	for {
 		note, err := c.raw.ReceiveDatagram(e.ctx)
 		if err != nil {
 			return
 		}
-		if !c.usable(e.config.Now()) {
-			e.expire(c, address)
+		if !e.admissible(c, address) {
 			return
 		}
-		e.takeNote(c, address, note)
+		e.takeNote(c, address.String(), note)
 	}
 }
 
--- a/internal/fleet/link/peer.go
+++ b/internal/fleet/link/peer.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -42,7 +43,8 @@
 	raw     *quic.Conn
 	host    identity.Host
 	since   time.Time
-	expires time.Time // end of the certificate that the peer showed
+	expires time.Time     // end of the certificate that the peer showed
+	loads   atomic.Uint64 // of the own material when the peer was last admitted
 	notes   chan []byte
 }
 
@@ -50,6 +52,22 @@
 	return c != nil && c.raw.Context().Err() == nil && now.Before(c.expires)
 }
 
+// trusted reports whether the peer is still to be admitted. After a change of
+// the authorities that this host trusts, the certificate is checked again.
+func (e *Endpoint) trusted(c *connection, address netip.AddrPort) bool {
+	loads := e.config.Identity.Loads()
+	if c.loads.Load() == loads {
+		return true
+	}
+	chain := c.raw.ConnectionState().TLS.PeerCertificates
+	if _, err := e.config.Identity.Admit(chain, address.String()); err != nil {
+		c.close("refused")
+		return false
+	}
+	c.loads.Store(loads)
+	return true
+}
+
 // queue hands a note to the sender of the connection, or drops it when too
 // many wait.
 func (c *connection) queue(note []byte) {
@@ -131,7 +149,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := e.config.Now()
-	if p.current.usable(now) {
+	if p.current.usable(now) && e.trusted(p.current, p.address) {
 		if err := e.expected(p.address, p.current.host); err != nil {
 			p.current.close("refused")
 			p.current = nil
@@ -236,13 +254,15 @@
 		_ = raw.CloseWithError(closeCode, "refused")
 		return nil, err
 	}
-	return &connection{
+	proven := &connection{
 		raw:     raw,
 		host:    host,
 		since:   e.config.Now(),
 		expires: leaf.NotAfter,
 		notes:   make(chan []byte, MaxPendingNotes),
-	}, nil
+	}
+	proven.loads.Store(e.config.Identity.Loads())
+	return proven, nil
 }
 
 func (e *Endpoint) expected(address netip.AddrPort, proven identity.Host) error {
--- a/internal/fleet/link/serve.go
+++ b/internal/fleet/link/serve.go
@@ -37,36 +37,37 @@
 
 // serve starts to take streams and notes from a connection.
 func (e *Endpoint) serve(c *connection, address netip.AddrPort) {
-	e.spawn(func() { e.takeStreams(c, address.String()) })
-	e.spawn(func() { e.takeNotes(c, address.String()) })
+	e.spawn(func() { e.takeStreams(c, address) })
+	e.spawn(func() { e.takeNotes(c, address) })
 	e.spawn(func() { e.sendNotes(c) })
 }
 
-func (e *Endpoint) takeStreams(c *connection, address string) {
+func (e *Endpoint) takeStreams(c *connection, address netip.AddrPort) {
 	for {
 		raw, err := c.raw.AcceptStream(e.ctx)
 		if err != nil {
 			return
 		}
-		if !c.usable(e.config.Now()) {
-			e.expire(c, address)
+		if !e.admissible(c, address) {
 			return
 		}
-		stream := &Stream{peer: c.host, address: address, raw: raw, traffic: &e.traffic, opened: true}
+		stream := &Stream{peer: c.host, address: address.String(), raw: raw, traffic: &e.traffic, opened: true}
 		if !e.spawn(func() { e.handle(stream) }) {
 			return
 		}
 	}
 }
 
-// expire ends a connection whose certificate has run out. The peer connects
-// again with the one that it has now.
-func (e *Endpoint) expire(c *connection, address string) {
+// admissible reports whether the peer may still use the connection. One whose
+// certificate has run out is ended; the peer connects again with the
+// certificate that it has now.
+func (e *Endpoint) admissible(c *connection, address netip.AddrPort) bool {
 	if e.config.Now().Before(c.expires) {
-		return
+		return e.trusted(c, address)
 	}
-	e.config.Identity.Refuse(address, &identity.PeerError{Reason: identity.Expired, Host: c.host})
+	e.config.Identity.Refuse(address.String(), &identity.PeerError{Reason: identity.Expired, Host: c.host})
 	c.close("certificate expired")
+	return false
 }
 
 func (e *Endpoint) handle(stream *Stream) {
--- a/internal/fleet/roster/duty.go
+++ b/internal/fleet/roster/duty.go
@@ -145,7 +145,9 @@
 	number := event.PeerJoined
 	if m.Status > Suspect {
 		number = event.PeerFailed
-		d.options.Endpoint.Drop(m.Address)
+	}
+	if m.Status == Failed { // a host that leaves still ends its requests
+		d.options.Endpoint.Doubt(m.Address)
 	}
 	d.options.Log.Emit(number, "host", m.Name, "address", m.Address, "status", m.Status.String())
 }
--- a/internal/fleet/scale/cost.go
+++ b/internal/fleet/scale/cost.go
@@ -16,7 +16,7 @@
 	// PacketOverhead is what a packet with one frame adds to its content.
 	PacketOverhead = ipHeader + udpHeader + quicHeader + quicSeal + frameHeader
 	// AckBytes is the size of a packet that only acknowledges.
-	AckBytes = ipHeader + udpHeader + quicHeader + quicSeal + 6
+	AckBytes = ipHeader + udpHeader + quicHeader + quicSeal + 11
 	// NoteHeader is what package link puts before a note of the roster.
 	NoteHeader = 1 + len("roster")
 	// CallHeader is what package link puts before the messages of a call.
--- a/internal/fleet/scale/fleet.go
+++ b/internal/fleet/scale/fleet.go
@@ -42,6 +42,7 @@
 	Region  int
 	Address string
 	Down    bool
+	Paused  bool // it runs nothing and loses what it is sent
 	Cost    Cost
 	Roster  *roster.State
 	Spread  *spread.State
@@ -60,6 +61,8 @@
 	Hosts []*Host
 	// Cut reports whether packets from one host to another are lost.
 	Cut func(from, to *Host) bool
+	// Late, when set, returns how much longer a packet takes.
+	Late func(from, to *Host) time.Duration
 	// Alter, when set, may change a packet of the roster on its way.
 	Alter func(packet roster.Packet) roster.Packet
 	// CutOff reports whether a host can't reach the platform.
@@ -96,7 +99,7 @@
 // Boot starts a new process on a host, which knows nothing.
 func (f *Fleet) Boot(h *Host, incarnation uint32) {
 	h.start++
-	h.Down, h.watching, h.parked, h.seen = false, false, false, 0
+	h.Down, h.Paused, h.watching, h.parked, h.seen = false, false, false, false, 0
 	h.Roster = roster.New(roster.Config{Self: h.Host, Address: h.Address, Incarnation: incarnation, Seed: f.Rand.Uint64()})
 	h.Spread = &spread.State{}
 	f.list(h, h.start)
@@ -117,6 +120,9 @@
 	return f.Now.Sub(begin), ok
 }
 
+// Step moves the clock of a host.
+func (f *Fleet) Step(h *Host, by time.Duration) { h.clock += by }
+
 func (f *Fleet) local(h *Host) time.Time { return f.Now.Add(h.clock) }
 
 func (f *Fleet) tick(h *Host, start int) {
@@ -124,6 +130,9 @@
 		return
 	}
 	f.After(roster.TickPeriod, func() { f.tick(h, start) })
+	if h.Paused {
+		return
+	}
 	now := f.local(h)
 	described := roster.Described{Version: h.Spread.Accepted.Version, Body: summary(16), Zone: summary(16)}
 	h.Roster.Step(described, now)
--- a/internal/fleet/scale/platform.go
+++ b/internal/fleet/scale/platform.go
@@ -93,13 +93,15 @@
 	return next.Version
 }
 
-// Operate submits changes at the rate of the plan from now on.
+// Operate submits changes at the rate of the plan from now on, evenly.
 func (f *Fleet) Operate() {
 	if f.Plan.Changes == 0 {
 		return
 	}
-	wait := time.Duration(f.Rand.ExpFloat64() * float64(day) / float64(f.Plan.Changes))
-	f.After(wait, func() {
+	f.After(day/time.Duration(f.Plan.Changes), func() {
+		if f.Plan.Changes == 0 {
+			return
+		}
 		f.Submit()
 		f.Operate()
 	})
--- a/internal/fleet/scale/transport.go
+++ b/internal/fleet/scale/transport.go
@@ -75,25 +75,29 @@
 
 // lost reports whether one of a number of packets does not arrive.
 func (f *Fleet) lost(from, to *Host, packets int) bool {
-	if to.Down || f.Cut != nil && f.Cut(from, to) {
+	if to.Down || to.Paused || f.Cut != nil && f.Cut(from, to) {
 		return true
 	}
 	return f.Plan.Loss > 0 && f.Rand.Float64() > math.Pow(1-f.Plan.Loss, float64(packets))
 }
 
 func (f *Fleet) cut(a, b *Host) bool {
-	return b.Down || f.Cut != nil && (f.Cut(a, b) || f.Cut(b, a))
+	return b.Down || b.Paused || f.Cut != nil && (f.Cut(a, b) || f.Cut(b, a))
 }
 
 func (f *Fleet) delay(from, to *Host) time.Duration {
 	base := regionDelay
+	late := time.Duration(0)
+	if f.Late != nil {
+		late = f.Late(from, to)
+	}
 	switch {
 	case from.Zone == to.Zone:
 		base = zoneDelay
 	case from.Region == to.Region:
 		base = nearDelay
 	}
-	return base + time.Duration(f.Rand.Int64N(int64(jitter)))
+	return base + late + time.Duration(f.Rand.Int64N(int64(jitter)))
 }
 
 func (f *Fleet) spreadActions(h *Host, actions []spread.Action) {
