--- a/internal/rollout/compare/compare_test.go
+++ b/internal/rollout/compare/compare_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,6 +18,15 @@
 // table.
 var full = flag.Bool("full", false, "run all comparisons at full size")
 
+// seeds is the number of runs of each site.
+var seeds = flag.Int("seeds", 3, "runs of each site under different seeds")
+
+// only names the one scenario to run.
+var only = flag.String("only", "", "run only the scenario of this name")
+
+// seedStep lies between the seeds of a site's runs.
+const seedStep = 100
+
 // shortLength is the length of a run under the race detector.
 const shortLength = 15 * time.Minute
 
@@ -36,6 +46,10 @@
 			c := c
 			c.Baseline, c.Reclaims = baseline, reclaims
 			results[i] = compare.Run(c)
+			for range *seeds - 1 {
+				c.Seed += seedStep
+				results[i].Add(compare.Run(c))
+			}
 			return nil
 		})
 	}
@@ -54,7 +68,7 @@
 	if *full {
 		all = append(all, compare.Tenth(), compare.Full())
 	}
-	return all
+	return slices.DeleteFunc(all, func(c compare.Scenario) bool { return *only != "" && c.Name != *only })
 }
 
 // The flag is known only once the specs run, so that one spec goes through the
