--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -206,17 +206,6 @@
 		Eventually(ctx, ended).Should(BeClosed())
 	})
 
-	It("lets the opener's context end while the stream is being opened", func(ctx SpecContext) {
-		b.Handle("drop", func(context.Context, identity.Host, *link.Stream) error { return nil })
-		for range 200 {
-			opening, cancel := context.WithCancel(ctx)
-			go cancel()
-			if stream, err := a.Open(opening, b.Address(), "drop"); err == nil {
-				stream.Cancel()
-			}
-		}
-	})
-
 	It("streams both ways until each side closes", func(ctx SpecContext) {
 		b.Handle("double", func(_ context.Context, _ identity.Host, stream *link.Stream) error {
 			for {
