Refuse claims that a replaced owner left with a later restarter

Two causes: a host that knew a later view still took copies of earlier epochs, and a restarter granted claims that it only had as copies.

Adopting a view now raises the lowest epoch that any member accepts, and a restarter drops claims from before the loss, so that it replies that the outcome is unknown.

--- a/internal/entry/claim/claim.go
+++ b/internal/entry/claim/claim.go
@@ -14,7 +14,7 @@
 //  5. A claim whose attempt has run out of time without a report is Outcome,
 //     never New. It becomes Done if the report arrives late.
 //  6. An owner in a lost view replies Outcome for each key that it doesn't
-//     know, unless a host minted the key under the lost epoch or a later one.
+//     know, or that it knows from before, unless a host minted the key under the lost epoch or a later one.
 //     An owner replies Moved for a key minted under a later epoch than its own.
 //  7. A record is kept for Retention after its end. Callers may repeat a key
 //     for that long. A full table replies Busy and forgets nothing early.
@@ -44,7 +44,7 @@
 	record Record
 	ends   time.Duration // when the attempt has ended, by the member's clock
 	stored map[view.Member]bool
-	said   bool // New was replied to record.Attempt
+	epoch  uint64 // under which the claim was made or copied
 }
 
 // Table is one member's state of one shard. It has no clock: now is the time
--- a/internal/entry/claim/claim_test.go
+++ b/internal/entry/claim/claim_test.go
@@ -225,4 +225,28 @@
 		s.settle()
 		Expect(s.claim(1, "k", "2").Status).To(Equal(claim.Running))
 	})
+
+	It("give nothing for a claim that a replaced owner left with a later restarter", func() {
+		a, b, c := view.Member{Host: "a", Incarnation: 1}, view.Member{Host: "b", Incarnation: 1}, view.Member{Host: "c", Incarnation: 1}
+		stale := claim.Copy{Shard: "s", Epoch: 1, Records: []claim.Record{{
+			Key: claim.Key{Workspace: "w", ID: "k"}, Digest: "d", Attempt: "2", State: claim.Claimed, Within: time.Minute,
+		}}}
+		first := view.First("s", "z", a)
+		first.Copies, first.Version = []view.Member{b}, 1
+		second, _ := view.Takeover(first, b, func(view.Member) bool { return true })
+		second.Version = 2
+		third := view.Restart(second, c)
+		third.Version = 3
+
+		late := claim.Table{Self: c, Shard: "s"}
+		late.Adopt(second)
+		Expect(late.Copy(stale, 0).Stored).To(BeFalse())
+
+		early := claim.Table{Self: c, Shard: "s"}
+		Expect(early.Copy(stale, 0).Stored).To(BeTrue())
+		early.Adopt(third)
+		early.Stored(claim.Key{Workspace: "w", ID: "k"}, "2", view.Member{})
+		reply, _ := early.Claim(request("k", "2"), 0)
+		Expect(reply.Status).To(Equal(claim.Outcome))
+	})
 })
--- a/internal/entry/claim/command.go
+++ b/internal/entry/claim/command.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -69,7 +70,6 @@
 	}
 	missing := t.waits(r)
 	if len(missing) == 0 {
-		r.said = true
 		return Reply{Status: New}, Ask{}
 	}
 	ask := Ask{Copy: Copy{Shard: t.Shard, Epoch: t.current.Epoch, Records: []Record{r.copied(now)}}}
@@ -124,6 +124,7 @@
 		ends := max(r.ends, now+record.Within)
 		r.record = record
 		r.ends = ends
+		r.epoch = t.floor
 	}
 }
 
@@ -131,7 +132,7 @@
 	if t.rows == nil {
 		t.rows = map[Key]*row{}
 	}
-	r := &row{record: record, ends: now + record.Within, stored: map[view.Member]bool{}}
+	r := &row{record: record, ends: now + record.Within, epoch: t.floor, stored: map[view.Member]bool{}}
 	t.rows[record.Key] = r
 	return r
 }
@@ -164,9 +165,10 @@
 	return Copy{Shard: t.Shard, Epoch: t.current.Epoch, Records: []Record{r.copied(now)}}, true
 }
 
-// Adopt takes a view that certainly stands at the platform. A host that the
-// view doesn't name drops what it holds, unless it was told more under the
-// same epoch: it may be about to become a copy.
+// Adopt takes a view that certainly stands at the platform. From then on the
+// member refuses owners of earlier views. A host that the view doesn't name
+// drops what it holds, unless it was told more under the same epoch: it may be
+// about to become a copy.
 func (t *Table) Adopt(v view.View) {
 	if v.Epoch < t.current.Epoch || v.Epoch == t.current.Epoch && v.Version < t.current.Version {
 		return
@@ -175,15 +177,26 @@
 		t.joining = nil
 	}
 	t.current = v
-	if v.Owner == t.Self {
-		t.floor = max(t.floor, v.Epoch) // rule 2
-		return
-	}
-	if !v.HasCopy(t.Self) && v.Epoch > t.floor {
+	news := v.Epoch > t.floor
+	t.floor = max(t.floor, v.Epoch) // rule 2
+	switch {
+	case v.Owner == t.Self && v.Lost == v.Epoch:
+		t.distrust()
+	case v.Owner != t.Self && !v.HasCopy(t.Self) && news:
 		t.rows = nil
 	}
 }
 
+// distrust drops the claims of an owner that restarts a lost shard. It was no
+// member, so that they may be those of an owner that was replaced long ago, and
+// another attempt may have run the request since. Rule 6 answers for them.
+func (t *Table) distrust() {
+	maps.DeleteFunc(t.rows, func(_ Key, r *row) bool { return r.record.State == Claimed && !t.under(r) })
+}
+
+// under says whether the claim was made under the lost epoch itself.
+func (t *Table) under(r *row) bool { return r.epoch >= t.current.Lost }
+
 // Join makes each New need the acknowledgment of the members too. Rule 8.
 func (t *Table) Join(members []view.Member) {
 	for _, member := range members {
