--- a/internal/rollout/step/assign.go
+++ b/internal/rollout/step/assign.go
@@ -16,7 +16,8 @@
 	Zone    string
 	Version uint64          // weights in force, as the engine reports them
 	Free    int             // generations that it can start
-	Speed   float64         // tokens per second and generation; zero if not known
+	Speed   float64         // tokens per second of one more generation; zero if not known
+	Drag    float64         // share of Speed lost to each further generation that is started now
 	Wait    time.Duration   // before a new generation starts
 	Cold    time.Duration   // to compute a prompt that is not in its cache
 	Warm    map[uint64]bool // prefixes in its cache, as Group.Prefix
@@ -36,8 +37,9 @@
 // defaultSpeed is assumed of engines that report none, in tokens per second.
 const defaultSpeed = 50.0
 
-// stalePenalty is added to the expected end on an engine whose version leaves
-// the sample no room to age. Such an engine is used only if no other is free.
+// stalePenalty is added to the expected end on an engine for each version that
+// the sample is expected to be past the bound by then. Such an engine is used
+// only if no other is free.
 const stalePenalty = time.Hour
 
 // siblingPenalty is added to the expected end for each attempt of the same
@@ -48,6 +50,14 @@
 	siblingsFree   = 4
 )
 
+// candidate is an engine, its pace against the fleet's, and how many
+// generations this call has started on it.
+type candidate struct {
+	*Engine
+	pace    float64
+	started int
+}
+
 // Assign returns the generations to start now on engines, which it leaves with
 // what remains free:
 //
@@ -63,29 +73,28 @@
 	}
 	field := l.usable(engines)
 	var all []Work
+	var ranked ranking
 	for _, at := range l.needs(now) {
-		if len(field) == 0 {
-			return all
+		if !ranked.isOf(l.slots[at].group) {
+			ranked = l.rank(at, field)
 		}
-		work, ok := l.place(at, field, now, false)
-		if !ok {
-			continue
+		if ranked.Len() == 0 {
+			break
 		}
-		all = append(all, work)
-		field = slices.DeleteFunc(field, func(e *Engine) bool { return e.Free <= 0 })
+		all = append(all, l.placeRanked(at, &ranked, field, now))
 	}
 	return append(all, l.hedges(field, now)...)
 }
 
 // usable returns the engines whose new samples could be delivered.
-func (l *Ledger) usable(engines []Engine) []*Engine {
-	var usable []*Engine
+func (l *Ledger) usable(engines []Engine) []*candidate {
+	var usable []*candidate
 	for i := range engines {
 		e := &engines[i]
 		if e.Free <= 0 || e.Leaving || !sample.Fresh([]uint64{e.Version}, l.newest, l.state.Bound) {
 			continue
 		}
-		usable = append(usable, e)
+		usable = append(usable, &candidate{Engine: e, pace: l.history.Pace(e.Name)})
 	}
 	return usable
 }
@@ -122,32 +131,36 @@
 	return length
 }
 
-// place starts a slot on the engine where it is expected to end first.
-func (l *Ledger) place(at int, field []*Engine, now time.Time, hedge bool) (Work, bool) {
-	siblings := l.siblings(l.slots[at].group)
-	var best *Engine
+// place starts a slot on the engine where it is expected to end first, and
+// keeps it from the engine that failed it last if there is another. Beside
+// names the engine of the attempt that a hedge runs beside; it is empty for a
+// first attempt.
+func (l *Ledger) place(at int, field []*candidate, now time.Time, beside string) (Work, bool) {
+	var best *candidate
 	var least time.Duration
 	for _, e := range field {
-		if e.Name == l.slots[at].avoid && len(field) > 1 {
-			continue
-		}
-		if e.Free <= 0 || (hedge && l.runsOn(at, e.Name)) {
+		if e.Free <= 0 || (e.Name == l.slots[at].avoid && len(field) > 1) || (beside != "" && e.Name == beside) {
 			continue
 		}
-		ends := l.ends(at, e) + siblingPenalty*time.Duration(max(0, siblings[e.Name]-siblingsFree))
-		if best == nil || ends < least {
+		if ends := l.cost(at, e); best == nil || ends < least {
 			best, least = e, ends
 		}
 	}
 	if best == nil {
 		return Work{}, false
 	}
-	return l.start(at, best, now, hedge), true
+	return l.start(at, best, now, beside != ""), true
+}
+
+// cost is the expected end on an engine with the penalty for siblings.
+func (l *Ledger) cost(at int, e *candidate) time.Duration {
+	siblings := l.siblings[sibling{l.slots[at].group, e.Name}]
+	return l.ends(at, e) + siblingPenalty*time.Duration(max(0, siblings-siblingsFree))
 }
 
 // ends returns how long a new attempt at a slot is expected to take on an
 // engine.
-func (l *Ledger) ends(at int, e *Engine) time.Duration {
+func (l *Ledger) ends(at int, e *candidate) time.Duration {
 	s := &l.slots[at]
 	rest := l.length(s.group, 0)
 	if s.resume != nil {
@@ -158,51 +171,39 @@
 		ends += e.Cold
 	}
 	if l.policy.ReleasePeriod > 0 {
-		releases := uint64(ends / l.policy.ReleasePeriod)
-		if !sample.Fresh([]uint64{e.Version}, l.newest+releases, l.state.Bound) {
-			ends += stalePenalty
-		}
+		newest := l.newest + uint64(ends/l.policy.ReleasePeriod)
+		ends += stalePenalty * time.Duration(behind(e.Version, newest, l.state.Bound))
 	}
 	return ends
 }
 
-func speedOf(e *Engine) float64 {
-	if e.Speed <= 0 {
-		return defaultSpeed
+// behind returns by how many versions a version is past the bound.
+func behind(version, newest, bound uint64) uint64 {
+	if newest <= version+bound {
+		return 0
 	}
-	return e.Speed
+	return newest - version - bound
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-// siblings counts the group's running attempts on each engine.
-func (l *Ledger) siblings(group int) map[string]int {
-	counts := map[string]int{}
-	for _, a := range l.running {
-		if l.slots[a.slot].group == group {
-			counts[a.engine]++
-		}
+func speedOf(e *candidate) float64 {
+	speed := e.Speed
+	if speed <= 0 {
+		speed = defaultSpeed
 	}
-	return counts
+	return speed * e.pace / (1 + e.Drag*float64(e.started))
 }
 
-func (l *Ledger) runsOn(at int, name string) bool {
-	for _, a := range l.running {
-		if a.slot == at && a.engine == name {
-			return true
-		}
-	}
-	return false
-}
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // start records an attempt and returns its work. An attempt starts under the
 // version that the engine reports only as a guess; the stream alone labels it.
-func (l *Ledger) start(at int, e *Engine, now time.Time, hedge bool) Work {
+func (l *Ledger) start(at int, e *candidate, now time.Time, hedge bool) Work {
 	s := &l.slots[at]
 	s.attempts++
 	s.running++
+	a := &attempt{id: l.attemptID(s), slot: at, engine: e.Name, hedge: hedge, started: now, moved: now, speed: speedOf(e) / e.pace}
 	e.Free--
-	a := &attempt{id: l.attemptID(s), slot: at, engine: e.Name, hedge: hedge, started: now, moved: now}
+	e.started++
 	group := l.plan.Groups[s.group]
 	request := engine.Request{
 		ID: a.id, Model: l.plan.Model, Adapter: l.plan.Adapter, Prompt: group.Prompt,
@@ -210,10 +211,11 @@
 	}
 	if !hedge && s.resume != nil {
 		request.Resume = s.resume
-		a.versions, a.tokens = s.resume.Versions, s.resume.Tokens
+		a.versions, a.tokens, a.resumed = s.resume.Versions, s.resume.Tokens, s.resume.Tokens
 		s.resume = nil
 	}
 	l.running[a.id] = a
+	l.siblings[sibling{s.group, e.Name}]++
 	l.stats.Attempts++
 	return Work{Attempt: a.id, Group: s.group, Index: s.index, Engine: e.Name, Hedge: hedge, Request: request}
 }
--- a/internal/rollout/step/complete.go
+++ b/internal/rollout/step/complete.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
@@ -30,6 +32,7 @@
 	if tokens > a.tokens {
 		a.tokens, a.moved = tokens, now
 	}
+	l.learn(a, now)
 	a.versions = versions
 	if l.hopeless(versions) {
 		l.drop(a, &l.stats.StaleTokens)
@@ -37,6 +40,16 @@
 	}
 }
 
+// learn remembers the pace of an attempt's engine.
+func (l *Ledger) learn(a *attempt, now time.Time) {
+	if age := now.Sub(a.started); age >= paceAge {
+		l.history.AddPace(a.engine, float64(a.tokens-a.resumed)/age.Seconds()/a.speed)
+	}
+}
+
+// paceAge is how long an attempt runs before its pace says something.
+const paceAge = 5 * time.Second
+
 // Complete takes a finished sample. The first complete, labeled and fresh
 // sample of a slot wins; other attempts at the slot are canceled.
 func (l *Ledger) Complete(id string, s sample.Sample, now time.Time) Outcome {
@@ -89,11 +102,16 @@
 	if l.slots[l.position(at)].running == 0 {
 		return
 	}
-	for _, a := range l.ordered() {
+	var all []*attempt
+	for _, a := range l.running {
 		if l.slots[a.slot].place == at {
-			l.drop(a, &l.stats.HedgeTokens)
+			all = append(all, a)
 		}
 	}
+	slices.SortFunc(all, func(a, b *attempt) int { return strings.Compare(a.id, b.id) })
+	for _, a := range all {
+		l.drop(a, &l.stats.HedgeTokens)
+	}
 }
 
 // Scored ends the scoring of a won sample. The attempt names the sample, since
@@ -143,7 +161,7 @@
 
 // Move takes what a reclaimed engine exported of an attempt. The next attempt
 // resumes from it, with every version it names, if it can still finish fresh.
-func (l *Ledger) Move(id string, resume engine.Resume, _ time.Time) {
+func (l *Ledger) Move(id string, resume engine.Resume) {
 	a, ok := l.running[id]
 	if !ok {
 		return
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -7,8 +7,10 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -21,17 +23,30 @@
 // Call is the only step.
 const Call fault.Step = "call"
 
+// The faults of a call, before and after it runs.
+var (
+	faultsBefore = []fault.Kind{fault.DropBefore, fault.Refuse, fault.Down, fault.Limit}
+	faultsAfter  = []fault.Kind{fault.Crash, fault.DropAfter, fault.Crossed, fault.Truncated, fault.Corrupt, fault.Slow}
+)
+
+// Catalog lists the faults of a call.
+func Catalog() fault.Catalog {
+	return fault.Catalog{Call: slices.Concat([]fault.Kind{fault.Delay}, faultsBefore, faultsAfter)}
+}
+
 // HeaderKey names a call that its caller may send again.
 const HeaderKey = "Idempotency-Key"
 
 // Settings configures a stand-in. Answer, when set, makes the answer's body;
-// otherwise the request's body comes back. A body with Poison crashes it.
+// otherwise the request's body comes back. A body with Poison crashes it, and
+// it starts again after Restart; zero means never.
 type Settings struct {
-	Answer func(path string, body []byte) []byte
-	Slots  int // calls at once; zero for no bound
-	Poison string
-	Record bool
-	Faults *fault.Script
+	Answer  func(path string, body []byte) []byte
+	Slots   int // calls at once; zero for no bound
+	Poison  string
+	Restart time.Duration
+	Record  bool
+	Faults  *fault.Script
 }
 
 // Service is the stand-in. It gives no protection of its own against repeats.
@@ -39,7 +54,9 @@
 	settings Settings
 	server   web.Server
 	done     chan struct{}
-	once     sync.Once
+
+	life   sync.Mutex // held while the service starts again or closes
+	closed bool
 
 	mu      sync.Mutex
 	ran     map[string]int
@@ -82,15 +99,31 @@
 	s.crashes++
 	s.mu.Unlock()
 	s.server.Stop()
+	if wait := s.settings.Restart; wait > 0 {
+		time.AfterFunc(wait, func() { _ = s.Restart() })
+	}
 }
 
-// Restart listens again on the same address.
-func (s *Service) Restart() error { return s.server.Again() }
+// Restart listens again on the same address, unless the service is closed or
+// listens already.
+func (s *Service) Restart() error {
+	s.life.Lock()
+	defer s.life.Unlock()
+	if s.closed || s.server.Up() {
+		return nil
+	}
+	return s.server.Again()
+}
 
 // Close stops the service for good.
 func (s *Service) Close() {
+	s.life.Lock()
+	defer s.life.Unlock()
 	s.server.Stop()
-	s.once.Do(func() { close(s.done) })
+	if !s.closed {
+		s.closed = true
+		close(s.done)
+	}
 }
 
 // Executions returns how often a call was carried out. Its name is its
@@ -179,7 +212,7 @@
 	if rule, due := script.Take(Call, subject, fault.Delay); due {
 		rule.Wait(r.Context())
 	}
-	rule, due := script.Take(Call, subject, fault.DropBefore, fault.Refuse, fault.Down, fault.Limit)
+	rule, due := script.Take(Call, subject, faultsBefore...)
 	if !due {
 		return false
 	}
@@ -199,8 +232,7 @@
 
 // answer writes the answer of a call that has run.
 func (s *Service) answer(w http.ResponseWriter, r *http.Request, id string, body []byte) {
-	rule, _ := s.settings.Faults.Take(Call, string(body),
-		fault.Crash, fault.DropAfter, fault.Crossed, fault.Truncated, fault.Corrupt, fault.Slow)
+	rule, _ := s.settings.Faults.Take(Call, string(body), faultsAfter...)
 	if s.poisoned(body) || rule.Kind == fault.Crash {
 		s.Crash()
 		web.Drop()
