Expect half the token limit without history; state the speed that remains

The first step of a workspace expected 512 tokens a sample, ordered too few servers and took 26 minutes. Without history half of the token limit is now expected, and a class without history takes the mean of all.

--- a/internal/rollout/step/assign.go
+++ b/internal/rollout/step/assign.go
@@ -17,7 +17,7 @@
 	Version uint64          // weights in force, as the engine reports them
 	Free    int             // generations that it can start
 	Speed   float64         // tokens per second of one more generation; zero if not known
-	Drag    float64         // share of Speed lost to each further generation that is started now
+	Drag    float64         // share of Speed that the next generation costs the one after it
 	Wait    time.Duration   // before a new generation starts
 	Cold    time.Duration   // to compute a prompt that is not in its cache
 	Warm    map[uint64]bool // prefixes in its cache, as Group.Prefix
@@ -50,16 +50,14 @@
 	siblingsFree   = 4
 )
 
-// candidate is an engine, its pace against the fleet's, and how many
-// generations this call has started on it.
+// candidate is an engine and its pace against the fleet's.
 type candidate struct {
 	*Engine
-	pace    float64
-	started int
+	pace float64
 }
 
 // Assign returns the generations to start now on engines, which it leaves with
-// what remains free:
+// what remains free and at the speed that remains:
 //
 //  1. Slots without a sample come first, those expected longest before the
 //     others, since a long sample that starts late ends the step late.
@@ -124,7 +122,7 @@
 
 func (l *Ledger) length(group, soFar int) float64 {
 	stat, wanted := l.groups[group], l.plan.Groups[group]
-	length := expected(l.history.Mean(wanted.Class), stat.finished, stat.tokens, soFar)
+	length := expected(l.history.Mean(wanted.Class, wanted.MaxTokens), stat.finished, stat.tokens, soFar)
 	if wanted.MaxTokens > 0 {
 		return min(length, float64(wanted.MaxTokens))
 	}
@@ -190,7 +188,7 @@
 	if speed <= 0 {
 		speed = defaultSpeed
 	}
-	return speed * e.pace / (1 + e.Drag*float64(e.started))
+	return speed * e.pace
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -203,7 +201,8 @@
 	s.running++
 	a := &attempt{id: l.attemptID(s), slot: at, engine: e.Name, hedge: hedge, started: now, moved: now, speed: speedOf(e) / e.pace}
 	e.Free--
-	e.started++
+	e.Speed /= 1 + e.Drag
+	e.Drag /= 1 + e.Drag
 	group := l.plan.Groups[s.group]
 	request := engine.Request{
 		ID: a.id, Model: l.plan.Model, Adapter: l.plan.Adapter, Prompt: group.Prompt,
--- a/internal/rollout/step/history.go
+++ b/internal/rollout/step/history.go
@@ -9,7 +9,7 @@
 const (
 	historyWeight = 0.05 // of the newest length in the moving mean
 	priorWeight   = 2.0  // of the class's mean against the lengths seen in the group
-	defaultTokens = 512  // expected length without any history
+	defaultTokens = 512  // expected length without any history or limit
 	overrunFactor = 1.3  // expected length over the length so far, once that passes the expectation
 )
 
@@ -18,6 +18,7 @@
 type History struct {
 	mu    sync.Mutex
 	means map[string]float64
+	all   float64            // mean of all classes
 	paces map[string]float64 // of each engine, as the share of its stated speed
 	pace  float64            // of all engines
 }
@@ -32,23 +33,23 @@
 	if _, ok := h.means[class]; !ok && len(h.means) >= maxClasses {
 		class = ""
 	}
-	mean, ok := h.means[class]
-	if !ok {
-		h.means[class] = float64(tokens)
-		return
-	}
-	h.means[class] = moved(mean, float64(tokens), historyWeight)
+	h.means[class] = moved(h.means[class], float64(tokens), historyWeight)
+	h.all = moved(h.all, float64(tokens), historyWeight)
 }
 
-// Mean returns the expected length in tokens of a sample of the class.
-func (h *History) Mean(class string) float64 {
+// Mean returns the expected length in tokens of a sample of the class. A class
+// without history takes the mean of all, and a workspace without history half
+// of the limit, since to order too few servers delays a whole step.
+func (h *History) Mean(class string, limit int) float64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if mean, ok := h.means[class]; ok {
-		return mean
-	}
-	if mean, ok := h.means[""]; ok {
+	switch mean := h.means[class]; {
+	case mean > 0:
 		return mean
+	case h.all > 0:
+		return h.all
+	case limit > 0:
+		return float64(limit) / 2
 	}
 	return defaultTokens
 }
