--- a/internal/rollout/compare/compare_test.go
+++ b/internal/rollout/compare/compare_test.go
@@ -71,21 +71,48 @@
 	return slices.DeleteFunc(all, func(c compare.Scenario) bool { return *only != "" && c.Name != *only })
 }
 
-// The flag is known only once the specs run, so that one spec goes through the
-// scenarios.
-var _ = DescribeTable("the decisions keep their promises",
+// The flags are known only once the specs run, so that one spec goes through
+// the scenarios. A short run is too short to compare and checks the promises
+// alone.
+var _ = DescribeTable("the decisions",
 	func(reclaims bool) {
 		for _, c := range scenarios() {
 			if testing.Short() {
 				c.Length = shortLength
 			}
-			for _, r := range table(c, reclaims) {
-				Expect(r.Samples).To(BeNumerically(">", 0))
-				Expect(r.Stale + r.Mislabeled + r.Repeated).To(BeZero())
-				Expect(r.MostWrites).To(BeNumerically("<", 20))
+			results := table(c, reclaims)
+			for _, r := range results {
+				keeps(r)
 			}
+			if testing.Short() {
+				continue
+			}
+			ours := results[compare.None]
+			Expect(ours.Times[len(ours.Times)-1]).To(BeNumerically("<=", wholeWithin))
+			Expect(compare.Quantile(ours.Rolls, 1)).To(BeNumerically("<=", rolledWithin))
+			beats(ours, results[compare.Arrival])
+			beats(ours, results[compare.OnDemand])
 		}
 	},
 	Entry("without reclaims", false),
 	Entry("with reclaims", true),
 )
+
+// The targets.
+const (
+	wholeWithin  = 24 * time.Minute
+	rolledWithin = 11 * time.Second
+	mostWrites   = 20 // of step objects in any second
+)
+
+// keeps are the promises, whatever the site.
+func keeps(r compare.Result) {
+	Expect(r.Samples).To(BeNumerically(">", 0))
+	Expect(r.Stale + r.Mislabeled + r.Repeated).To(BeZero())
+	Expect(r.MostWrites).To(BeNumerically("<", mostWrites))
+}
+
+func beats(ours, base compare.Result) {
+	Expect(ours.Idle()).To(BeNumerically("<", base.Idle()), "idle time against %s", base.Scenario.Baseline)
+	Expect(ours.CostPerThousand()).To(BeNumerically("<", base.CostPerThousand()), "cost against %s", base.Scenario.Baseline)
+}
