--- a/internal/entry/compare/compare.go
+++ b/internal/entry/compare/compare.go
@@ -22,8 +22,8 @@
 // Sites returns the installations that are measured.
 func Sites() []Site {
 	return []Site{
-		{Name: "forge", Zones: 4, Hosts: 9, Engines: 9, Hop: 500 * time.Microsecond, Seconds: 300},
-		{Name: "consortium", Zones: 3, Hosts: 9, Engines: 11, Hop: time.Millisecond, Seconds: 300},
+		{Name: "forge", Zones: 4, Hosts: 9, Engines: 9, Hop: 500 * time.Microsecond, Seconds: 900},
+		{Name: "consortium", Zones: 3, Hosts: 9, Engines: 11, Hop: time.Millisecond, Seconds: 900},
 		{Name: "large-zone", Zones: 1, Hosts: 28, Engines: 271, Hop: time.Millisecond, Seconds: 80},
 	}
 }
--- a/internal/entry/compare/fleet.go
+++ b/internal/entry/compare/fleet.go
@@ -14,7 +14,7 @@
 	pool          = "m"
 	messageTime   = 300 * time.Microsecond // within a zone
 	summaryPeriod = time.Second
-	sweepPeriod   = 50 * time.Millisecond
+	sweepPeriod   = 100 * time.Millisecond
 )
 
 // fleet runs the decisions of the product on every host.
@@ -101,7 +101,9 @@
 	w.every(summaryPeriod, stop, fl.exchange)
 	w.every(sweepPeriod, stop, func() {
 		for _, h := range fl.hosts {
-			fl.refuse(h.queue.Sweep(w.now))
+			if fl.policy.Shed {
+				fl.refuse(h.queue.Sweep(w.now))
+			}
 			h.dispatch()
 		}
 	})
