entry/attempt: leave half of the budget to retries

Hedges and retries shared one budget, so that hedges could use up what failed requests needed. Hedges now get half of it.

--- a/internal/entry/attempt/attempt_test.go
+++ b/internal/entry/attempt/attempt_test.go
@@ -151,6 +151,27 @@
 		b.Return(later)
 	})
 
+	It("leaves half of the budget to retries", func() {
+		var b attempt.Budget
+		now := time.Unix(5000, 0)
+		for range 1000 {
+			b.Request(now)
+		}
+		hedges, retries := 0, 0
+		for range 200 {
+			if b.TakeHedge(now) {
+				hedges++
+			}
+		}
+		for range 200 {
+			if b.Take(now) {
+				retries++
+			}
+		}
+		Expect(hedges).To(Equal(51))
+		Expect(retries).To(Equal(52))
+	})
+
 	It("hedges after the 95th percentile and not before enough is known", func() {
 		var d attempt.Delay
 		_, ok := d.After()
--- a/internal/entry/attempt/budget.go
+++ b/internal/entry/attempt/budget.go
@@ -11,6 +11,9 @@
 	DefaultReserve = 3
 )
 
+// hedgePart is the part of the budget that hedges may use.
+const hedgePart = 0.5
+
 // budgetSeconds is the number of seconds over which requests are counted.
 const budgetSeconds = 10
 
@@ -30,6 +33,7 @@
 	second   int64
 	requests int
 	extra    int
+	hedges   int // part of extra
 }
 
 // Request counts a new request.
@@ -44,11 +48,27 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.current(now)
-	requests, extra := b.sum(now)
-	if float64(extra+1) > b.share()*float64(requests)+float64(b.reserve()) {
+	sum := b.sum(now)
+	if float64(sum.extra+1) > b.bound(sum) {
+		return false
+	}
+	current.extra++
+	return true
+}
+
+// TakeHedge takes one extra send for a hedge. Hedges may use half of the
+// budget, so that requests that failed can still be repeated.
+func (b *Budget) TakeHedge(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	current := b.current(now)
+	sum := b.sum(now)
+	bound := b.bound(sum)
+	if float64(sum.extra+1) > bound || float64(sum.hedges+1) > hedgePart*bound {
 		return false
 	}
 	current.extra++
+	current.hedges++
 	return true
 }
 
@@ -70,15 +90,21 @@
 	return t
 }
 
-func (b *Budget) sum(now time.Time) (requests, extra int) {
+func (b *Budget) sum(now time.Time) tally {
 	oldest := now.Unix() - budgetSeconds
+	sum := tally{}
 	for _, t := range b.seconds {
 		if t.second > oldest {
-			requests += t.requests
-			extra += t.extra
+			sum.requests += t.requests
+			sum.extra += t.extra
+			sum.hedges += t.hedges
 		}
 	}
-	return requests, extra
+	return sum
+}
+
+func (b *Budget) bound(sum tally) float64 {
+	return b.share()*float64(sum.requests) + float64(b.reserve())
 }
 
 func (b *Budget) share() float64 {
--- a/internal/entry/compare/home.go
+++ b/internal/entry/compare/home.go
@@ -131,7 +131,7 @@
 		return
 	}
 	var d attempt.Decision
-	fi.state, d = attempt.Next(fi.state, attempt.Event{Kind: attempt.EventSlow, Budget: h.fleet.budget.Take(now)})
+	fi.state, d = attempt.Next(fi.state, attempt.Event{Kind: attempt.EventSlow, Budget: h.fleet.budget.TakeHedge(now)})
 	if d.Do != attempt.DoHedge {
 		h.engines.Release(now, choice.Server, fmt.Sprint(id), route.Outcome{})
 		return
