--- /dev/null
+++ b/internal/host/server/document.go
@@ -0,0 +1,128 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
+	"github.com/hyssopwall/hyssopwall/internal/entry/quota"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/spread"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/site/document"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+)
+
+// apply puts a document in force. A version that is not higher changes
+// nothing.
+func (s *Server) apply(version uint64, body []byte) {
+	doc, err := document.Decode("accepted document", body)
+	if err != nil {
+		s.config.Log.Emit(event.DocumentRefused, "version", version, "err", err.Error())
+		return
+	}
+	index := document.NewIndex(version, doc)
+	table, err := gate.NewTable(rulesOf(index))
+	if err != nil {
+		s.config.Log.Emit(event.DocumentRefused, "version", version, "err", err.Error())
+		return
+	}
+	gone, err := s.gate.Swap(table)
+	var stale *gate.StaleError
+	if errors.As(err, &stale) {
+		return
+	}
+	s.index.Store(index)
+	s.quota.SetLimits(limitsOf(index), s.firstShare)
+	s.home.SetWeights(sharesOf(index))
+	s.claims.SetZones(zonesOf(doc))
+	s.rolls.set(s.ctx, doc)
+	for _, caller := range gone {
+		s.config.Log.Emit(event.KeyWithdrawn, "workspace", caller.Workspace, "key", caller.KeyID)
+	}
+}
+
+func rulesOf(index *document.Index) gate.Rules {
+	rules := gate.Rules{Version: index.Version, OpenRoutes: index.OpenRoutes(), Grace: make(map[string]time.Duration)}
+	for _, workspace := range index.Document.Workspaces {
+		rules.Grace[workspace.Name] = time.Duration(workspace.Grace)
+		for _, key := range workspace.Keys {
+			rules.Grants = append(rules.Grants, gate.Grant{Workspace: workspace.Name, KeyID: key.Name, Digest: key.Digest})
+		}
+	}
+	return rules
+}
+
+func limitsOf(index *document.Index) map[quota.Key]quota.Limit {
+	limits := make(map[quota.Key]quota.Limit)
+	for _, workspace := range index.Document.Workspaces {
+		for _, limit := range workspace.Limits {
+			key := quota.Key{Workspace: workspace.Name, Route: limit.Route}
+			limits[key] = quota.Limit{Rate: limit.Rate, Tokens: limit.Tokens, Concurrency: limit.Running}
+		}
+	}
+	return limits
+}
+
+func zonesOf(doc document.Document) []string {
+	names := make([]string, len(doc.Zones))
+	for i, zone := range doc.Zones {
+		names[i] = zone.Name
+	}
+	return names
+}
+
+func sharesOf(index *document.Index) map[string]int {
+	shares := make(map[string]int)
+	for _, workspace := range index.Document.Workspaces {
+		shares[workspace.Name] = index.Share(workspace.Name)
+	}
+	return shares
+}
+
+// firstShare is this host's part of a limit until shares are divided by
+// demand: an even part among the live hosts.
+func (s *Server) firstShare(_ quota.Key, limit quota.Limit) quota.Share {
+	hosts := max(1, len(s.peers.live(func(*peer) bool { return true }))+1)
+	return quota.Share{Fraction: 1 / float64(hosts), Slots: max(1, limit.Concurrency/hosts)}
+}
+
+// watchDocument is the duty that puts each accepted document in force.
+func (s *Server) watchDocument(ctx context.Context) {
+	changes, cancel := s.spread.Subscribe()
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case accepted := <-changes:
+			s.apply(accepted.Version, accepted.Body)
+		}
+	}
+}
+
+// Submit checks a document and puts it in force as the version after base. It
+// returns a *form.ProblemsError for a document that is not sound, and the
+// errors of spread.Accept.
+func Submit(ctx context.Context, store object.Store, by string, base uint64, body []byte) (uint64, error) {
+	if _, err := document.Decode("document", body); err != nil {
+		return 0, err
+	}
+	accepted, err := spread.Accept(ctx, store, spread.Submission{By: by, At: time.Now(), Base: base, Body: body})
+	return accepted.Version, err
+}
+
+// Accepted reads the accepted document from the platform; its version is zero
+// when there is none.
+func Accepted(ctx context.Context, store object.Reader) (spread.Accepted, error) {
+	found, err := store.Get(ctx, spread.Key)
+	var missing *object.NotFoundError
+	if errors.As(err, &missing) {
+		return spread.Accepted{}, nil
+	}
+	if err != nil {
+		return spread.Accepted{}, err
+	}
+	return wire.Decode[spread.Accepted](found.Value)
+}
