--- a/internal/entry/queue/push.go
+++ b/internal/entry/queue/push.go
@@ -207,3 +207,16 @@
 		f.weight = q.weight(name)
 	}
 }
+
+// Withdraw takes out every request for which gone returns true, with the
+// reason that its caller is told. gone must not call the queue.
+func (q *Queue) Withdraw(reason string, gone func(Item) bool) []Shed {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.take(func(item *Item) string {
+		if gone(*item) {
+			return reason
+		}
+		return ""
+	})
+}
--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -36,13 +36,21 @@
 
 // Dispatcher runs admitted requests. Errors are *Error.
 type Dispatcher interface {
-	// Generate runs a generation and hands its events to sink in order; an
-	// error of sink ends it. It returns nil only after the whole answer.
-	Generate(ctx context.Context, call Call, request engine.Request, sink func(engine.Event) error) error
+	// Generate runs a generation and hands its events to the sink in order.
+	// It returns nil only after the whole answer.
+	Generate(ctx context.Context, call Call, request engine.Request, sink Sink) error
 	// Invoke calls a plain service.
 	Invoke(ctx context.Context, call Call, request service.Request) (service.Answer, error)
 }
 
+// Sink takes the events of a generation. An error of Event ends it. Restart
+// takes back everything so far, because it could not be trusted; it is nil, or
+// returns false, when what was passed on can't be taken back.
+type Sink struct {
+	Event   func(engine.Event) error
+	Restart func() bool
+}
+
 // Server serves callers. Index returns the document in force, nil before the
 // first. CutOff returns since when the host has had no news, zero for never.
 type Server struct {
--- a/internal/host/api/complete.go
+++ b/internal/host/api/complete.go
@@ -101,6 +101,20 @@
 	}
 }
 
+// sink collects the events of a generation, and can start again.
+func (g *generated) sink() Sink {
+	return Sink{
+		Event: func(e engine.Event) error {
+			g.add(e)
+			return nil
+		},
+		Restart: func() bool {
+			*g = generated{}
+			return true
+		},
+	}
+}
+
 func union(a, b []uint64) []uint64 {
 	all := append(slices.Clone(a), b...)
 	slices.Sort(all)
@@ -116,10 +130,7 @@
 			one.ID = fmt.Sprintf("%s-%d", call.ID, i)
 		}
 		group.Go(func() error {
-			return s.Dispatcher.Generate(ctx, one, engineRequest(one, request, request.Seed+int64(i)), func(e engine.Event) error {
-				results[i].add(e)
-				return nil
-			})
+			return s.Dispatcher.Generate(ctx, one, engineRequest(one, request, request.Seed+int64(i)), results[i].sink())
 		})
 	}
 	if err := group.Wait(); err != nil {
@@ -151,9 +162,8 @@
 // so that a failure before it still has its own status.
 func (s *Server) stream(ctx context.Context, c echo.Context, call Call, request completionRequest, form shape) error {
 	w := eventWriter{response: c.Response()}
-	err := s.Dispatcher.Generate(ctx, call, engineRequest(call, request, request.Seed), func(e engine.Event) error {
-		return w.write(s.partOf(call, request, form, e))
-	})
+	sink := Sink{Event: func(e engine.Event) error { return w.write(s.partOf(call, request, form, e)) }}
+	err := s.Dispatcher.Generate(ctx, call, engineRequest(call, request, request.Seed), sink)
 	if err == nil {
 		return w.end()
 	}
--- a/internal/host/dispatch/generate.go
+++ b/internal/host/dispatch/generate.go
@@ -17,7 +17,7 @@
 // Generate runs a generation and passes its events on as they come. The last
 // event waits until the usage is counted. A broken stream is resumed on
 // another engine, and the caller sees no gap and no repeat.
-func (d *Dispatcher) Generate(ctx context.Context, call api.Call, request engine.Request, sink func(engine.Event) error) (err error) {
+func (d *Dispatcher) Generate(ctx context.Context, call api.Call, request engine.Request, sink api.Sink) (err error) {
 	began := d.config.Now().UnixNano()
 	defer func() { d.observe(call, began, d.config.Now().UnixNano(), err) }()
 	admitted, err := d.admit(ctx, call, request.MaxTokens)
@@ -35,15 +35,16 @@
 		if item.Event == nil {
 			return nil
 		}
-		used++
+		used += item.Event.Tokens
 		if item.Event.Done {
 			used = item.Event.Tokens
 			last = item.Event
 			return nil
 		}
 		r.resume.add(*item.Event)
-		return sink(*item.Event)
+		return sink.Event(*item.Event)
 	}
+	r.restart = sink.Restart
 	if err := r.do(admitted.ctx); err != nil {
 		return err
 	}
@@ -51,7 +52,7 @@
 	if last == nil {
 		return &api.Error{Code: api.Failed, Message: "answer without an end", Ran: api.RanYes}
 	}
-	return sink(*last)
+	return sink.Event(*last)
 }
 
 // count makes usage safe before the last byte of an answer leaves. When no
--- a/internal/host/dispatch/partial.go
+++ b/internal/host/dispatch/partial.go
@@ -14,6 +14,7 @@
 	text     string
 	tokens   int
 	versions []uint64
+	blind    bool // the engine did not count some tokens, so that none can resume
 }
 
 func (p *partial) add(e engine.Event) {
@@ -21,7 +22,8 @@
 		return
 	}
 	p.text += e.Text
-	p.tokens++
+	p.tokens += e.Tokens
+	p.blind = p.blind || (e.Text != "" && e.Tokens == 0)
 	for _, version := range e.Versions {
 		if !slices.Contains(p.versions, version) {
 			p.versions = append(p.versions, version)
--- a/internal/host/dispatch/run.go
+++ b/internal/host/dispatch/run.go
@@ -25,11 +25,12 @@
 // run is one request on its way through its attempts. Its goroutine owns it;
 // legs report through events, which has room for each leg's only report.
 type run struct {
-	d      *Dispatcher
-	task   forward.Task
-	print  poison.Fingerprint
-	direct func(forward.Item) error // set when answers are passed on as they come
-	hedge  bool
+	d       *Dispatcher
+	task    forward.Task
+	print   poison.Fingerprint
+	direct  func(forward.Item) error // set when answers are passed on as they come
+	restart func() bool              // takes back what direct passed on; may be nil
+	hedge   bool
 
 	state   attempt.State
 	events  chan legEnd
@@ -81,7 +82,8 @@
 		case <-timeOf(slow):
 			decision = r.slow(route)
 		case <-r.again:
-			r.again, r.avoid = nil, nil
+			r.again, r.avoid, r.task.Avoid = nil, nil, nil
+			r.state.MaxTries = max(r.state.MaxTries, r.state.Tries+1)
 			decision = attempt.Decision{Do: attempt.DoSend}
 		case <-ctx.Done():
 			return r.giveUp(ctx)
@@ -238,6 +240,12 @@
 
 // retry asks the machine whether the request may be sent again.
 func (r *run) retry(leg int, failure *forward.Error) attempt.Decision {
+	if failure.Tainted {
+		r.takeBack()
+	}
+	if r.resume.blind { // what was passed on can't be continued or taken back
+		return r.apply(ending(leg, failure, false))
+	}
 	if verdict, _ := r.d.config.Poison.Admit(r.d.config.Now(), r.print); verdict == poison.Refuse {
 		return r.apply(ending(leg, failure, false))
 	} else if verdict == poison.Solo {
@@ -264,6 +272,19 @@
 	return failure.Code != forward.CodeBusy && failure.Code != forward.CodeCanceled
 }
 
+// takeBack drops the text so far, which can't be trusted. Text that a caller
+// has already seen can't be dropped; the request then ends.
+func (r *run) takeBack() {
+	if r.resume.text == "" {
+		return
+	}
+	if r.restart == nil || !r.restart() {
+		r.resume.blind = true
+		return
+	}
+	r.resume = partial{}
+}
+
 // misrouted says that the chosen host is not the home any more.
 func misrouted(failure *forward.Error) bool {
 	return failure.Ran == "no" && (failure.Code == forward.CodeNone || failure.Code == forward.CodeDraining)
--- a/internal/host/forward/message.go
+++ b/internal/host/forward/message.go
@@ -100,6 +100,7 @@
 	Server  string        `cbor:"5,keyasint,omitempty"`
 	Crashed bool          `cbor:"6,keyasint,omitempty"`
 	Alone   bool          `cbor:"7,keyasint,omitempty"` // no other request ran on Server
+	Tainted bool          `cbor:"8,keyasint,omitempty"` // the answer so far can't be trusted
 }
 
 func (f *Error) Error() string {
--- a/internal/host/forward/remote.go
+++ b/internal/host/forward/remote.go
@@ -104,10 +104,10 @@
 		case item.End != nil && sum.matches(task.ID, *item.End):
 			return nil
 		case item.End != nil:
-			return &Error{Code: CodeBroken, Message: "answer is not whole", Ran: "unknown"}
+			return &Error{Code: CodeBroken, Message: "answer is not whole", Ran: "unknown", Tainted: true}
 		}
 		if crossed(task.ID, item) {
-			return &Error{Code: CodeBroken, Message: "answer to another request", Ran: "unknown"}
+			return &Error{Code: CodeBroken, Message: "answer to another request", Ran: "unknown", Tainted: true}
 		}
 		sum.add(item)
 		if err := sink(item); err != nil {
--- a/internal/host/home/explain.go
+++ b/internal/host/home/explain.go
@@ -56,6 +56,7 @@
 			f.Ran = "no"
 		}
 	}
+	f.Tainted = reason == engine.ReasonDigest || reason == engine.ReasonCrossed || reason == engine.ReasonMalformed
 	if f.Ran != "no" {
 		f.Alone = j.task.Solo && h.engines.IsAlone(h.config.Now(), choice.Server, j.task.ID)
 		f.Crashed = h.crashed(ctx, choice)
--- a/internal/host/home/home.go
+++ b/internal/host/home/home.go
@@ -29,6 +29,13 @@
 	firstSpeed   = 100
 )
 
+// moveEvery is the time between two searches for waiting requests that no
+// backend server of this home may run any more.
+const moveEvery = 250 * time.Millisecond
+
+// reasonMoved is the reason of a request that has to look for another home.
+const reasonMoved = "home moved"
+
 // sweepEvery is the time between two looks at waiting requests whose backend
 // servers may have become free, or whose deadline has come out of reach.
 const sweepEvery = 20 * time.Millisecond
@@ -136,16 +143,32 @@
 	defer close(h.done)
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
+	moves := time.NewTicker(moveEvery)
+	defer moves.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			h.sweepOnce()
+		case <-moves.C:
+			h.moveOn()
 		}
 	}
 }
 
+// moveOn refuses waiting requests that no backend server of this home may run
+// any more, because the home or the servers have changed. Their hosts look for
+// another home.
+func (h *Home) moveOn() {
+	for _, q := range h.allQueues() {
+		notify(q.Withdraw(reasonMoved, func(item queue.Item) bool {
+			j, isJob := item.Value.(*job)
+			return isJob && !h.fits(j.task)
+		}))
+	}
+}
+
 func (h *Home) sweepOnce() {
 	now := h.config.Now()
 	for pool, q := range h.queuesByPool() {
--- /dev/null
+++ b/internal/host/home/home_test.go
@@ -0,0 +1,94 @@
+package home_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
+	"github.com/hyssopwall/hyssopwall/internal/backend/service"
+	"github.com/hyssopwall/hyssopwall/internal/host/forward"
+	"github.com/hyssopwall/hyssopwall/internal/host/home"
+	"github.com/hyssopwall/hyssopwall/internal/site/document"
+)
+
+func TestHome(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Home Suite")
+}
+
+// busy is a service that takes one call and keeps it until its context ends.
+type busy struct {
+	entered chan struct{}
+}
+
+func (b busy) Call(ctx context.Context, _ service.Request) (service.Answer, error) {
+	b.entered <- struct{}{}
+	<-ctx.Done()
+	return service.Answer{}, ctx.Err()
+}
+
+func (b busy) Engine(string) engine.Engine   { return nil }
+func (b busy) Service(string) service.Caller { return b }
+
+func task(id string, least uint64) forward.Task {
+	return forward.Task{
+		ID: id, Workspace: "w", Pool: "app", Route: "r", Left: time.Hour, Idempotent: true, Least: least,
+		Service: &service.Request{ID: id},
+	}
+}
+
+var _ = Describe("a home", func() {
+	var h *home.Home
+	var server busy
+	own := []home.Server{{Name: "s", Pool: "app", Kind: document.Service}}
+
+	BeforeEach(func() {
+		server = busy{entered: make(chan struct{}, 1)}
+		h = home.New(home.Config{Host: "h", Zone: "z", Dialer: server, Now: time.Now})
+		DeferCleanup(h.Close)
+		h.SetServers(own)
+	})
+
+	run := func(ctx context.Context, t forward.Task) chan *forward.Error {
+		done := make(chan *forward.Error, 1)
+		go func() {
+			err := h.Run(ctx, t, func(forward.Item) error { return nil })
+			var failure *forward.Error
+			errors.As(err, &failure)
+			done <- failure
+		}()
+		return done
+	}
+
+	It("refuses at once what none of its backend servers may run", func(ctx SpecContext) {
+		avoiding := task("a", 0)
+		avoiding.Avoid = []string{"s"}
+		for _, t := range []forward.Task{avoiding, task("b", 1)} {
+			var failure *forward.Error
+			Eventually(ctx, run(ctx, t)).Should(Receive(&failure))
+			Expect(failure.Code).To(Equal(forward.CodeNone))
+			Expect(failure.Ran).To(Equal("no"))
+		}
+	})
+
+	It("sends a waiting request on when its backend servers have moved to another home", func(ctx SpecContext) {
+		ctx2, stop := context.WithCancel(ctx)
+		defer stop()
+		solo := task("first", 0)
+		solo.Solo = true // keeps the backend server to itself
+		run(ctx2, solo)
+		Eventually(ctx, server.entered).Should(Receive())
+		waiting := run(ctx2, task("second", 0))
+		Eventually(ctx, h.Running).Should(Equal(2))
+		h.SetServers(nil)
+		var failure *forward.Error
+		Eventually(ctx, waiting).Should(Receive(&failure))
+		Expect(failure.Code).To(Equal(forward.CodeNone))
+		Expect(failure.Ran).To(Equal("no"))
+	})
+})
--- a/internal/host/home/run.go
+++ b/internal/host/home/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
@@ -31,8 +32,8 @@
 	switch {
 	case h.draining.Load():
 		return refuse(forward.CodeDraining, "the host stops", 0)
-	case !h.serves(task.Pool):
-		return refuse(forward.CodeNone, "no backend server of "+task.Pool+" here", time.Second)
+	case !h.fits(task):
+		return refuse(forward.CodeNone, "no backend server of "+task.Pool+" here that may run it", 0)
 	}
 	ctx, stop := context.WithTimeout(ctx, task.Left)
 	defer stop()
@@ -93,8 +94,11 @@
 
 func busy(refusal queue.RefusedError) *forward.Error {
 	code := forward.CodeBusy
-	if refusal.Reason == queue.ReasonClosed {
+	switch refusal.Reason {
+	case queue.ReasonClosed:
 		code = forward.CodeDraining
+	case reasonMoved:
+		code, refusal.After = forward.CodeNone, 0
 	}
 	return refuse(code, refusal.Reason, refusal.After)
 }
@@ -179,7 +183,7 @@
 	case j.task.Engine != nil && b.engine != nil:
 		return runEngine(ctx, b.engine, *j.task.Engine, sink)
 	case j.task.Service != nil && b.service != nil:
-		return runService(ctx, b.service, *j.task.Service, sink)
+		return runService(ctx, b.service, j.task, sink)
 	default:
 		return 0, &engine.RefusedError{Code: "kind"}
 	}
@@ -210,7 +214,7 @@
 		if event.Done {
 			tokens = event.Tokens
 		} else {
-			tokens++
+			tokens += event.Tokens
 		}
 		if err := sink(forward.Item{Event: &event}); err != nil {
 			return tokens, &sinkError{err: err}
@@ -218,11 +222,18 @@
 	}
 }
 
-func runService(ctx context.Context, c service.Caller, request service.Request, sink func(forward.Item) error) (int, error) {
-	answer, err := c.Call(ctx, request)
+// reasonUnavailable is the reason of an answer that says no more than that the
+// service is not available.
+const reasonUnavailable = "unavailable"
+
+func runService(ctx context.Context, c service.Caller, task forward.Task, sink func(forward.Item) error) (int, error) {
+	answer, err := c.Call(ctx, *task.Service)
 	if err != nil {
 		return 0, err
 	}
+	if task.Idempotent && answer.Status == http.StatusServiceUnavailable {
+		return 0, &service.BrokenError{ID: task.ID, Reason: reasonUnavailable, Sent: true}
+	}
 	if err := sink(forward.Item{Answer: &answer}); err != nil {
 		return 1, &sinkError{err: err}
 	}
--- a/internal/host/home/servers.go
+++ b/internal/host/home/servers.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
 	"github.com/hyssopwall/hyssopwall/internal/entry/queue"
 	"github.com/hyssopwall/hyssopwall/internal/entry/route"
+	"github.com/hyssopwall/hyssopwall/internal/host/forward"
 	"github.com/hyssopwall/hyssopwall/internal/site/document"
 )
 
@@ -117,11 +119,16 @@
 	return b, ok
 }
 
-func (h *Home) serves(pool string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, b := range h.servers {
-		if b.Pool == pool && !b.Leaving {
+// fits reports whether a backend server of this home may ever run a task. One
+// that none may run must not wait here: another home may have a place for it.
+func (h *Home) fits(task forward.Task) bool {
+	for _, s := range h.engines.States() {
+		switch {
+		case s.Pool != task.Pool || s.Leaving:
+		case slices.Contains(task.Avoid, s.Name):
+		case !task.Idempotent && !s.Durable:
+		case s.Version < task.Least:
+		default:
 			return true
 		}
 	}
--- a/internal/host/steps/open.go
+++ b/internal/host/steps/open.go
@@ -10,7 +10,6 @@
 	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
 	"github.com/hyssopwall/hyssopwall/internal/host/api"
-	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 	"github.com/hyssopwall/hyssopwall/internal/rollout/step"
 )
 
@@ -140,7 +139,6 @@
 	var fenced *step.FencedError
 	var canceled *step.CanceledError
 	var field *wire.FieldError
-	var missing *object.NotFoundError
 	switch {
 	case errors.As(err, &plan):
 		return &api.Error{Code: api.Conflict, Message: plan.Error(), Ran: api.RanNo}
@@ -151,9 +149,7 @@
 		return &api.Error{Code: api.Conflict, Message: "the step was canceled", Ran: api.RanNo}
 	case errors.As(err, &field):
 		return api.Refuse(api.BadRequest, field.Error())
-	case errors.As(err, &missing):
-		return api.Refuse(api.NotFound, "no such step")
-	default:
+	default: // a write of unknown outcome is read back as not found, and tried again
 		return api.RefuseFor(api.Unreachable, "the platform can't be reached to decide who owns the step", time.Second)
 	}
 }
