--- a/internal/fleet/lease/holder.go
+++ b/internal/fleet/lease/holder.go
@@ -101,7 +101,9 @@
 	now := h.Clock.Now()
 	wanted := false
 	for _, duty := range h.duties {
-		wanted = wanted || duty.Wants(now)
+		// A host that waits for a duty and may no longer take it renews nothing.
+		part := !duty.Idle() || h.contends(duty.Name)
+		wanted = wanted || part && duty.Wants(now)
 	}
 	var (
 		call commit.Call
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -96,6 +96,31 @@
 		Expect(grant.Epoch).To(Equal(uint64(2)))
 	})
 
+	It("renews nothing once it may no longer take a duty that it waited for", func() {
+		var one, two atomic.Bool
+		one.Store(true)
+		first, stop := start("a", &one)
+		Eventually(held(first), "20s", "10ms").Should(BeTrue())
+		stop()
+		<-first.Done()
+		two.Store(true)
+		_, _ = start("b", &two)
+		expelled := func() string {
+			clock.now.Add(int64(200 * time.Millisecond))
+			found, _ := store.Get(context.Background(), "session/a")
+			return string(found.Value)
+		}
+		Eventually(expelled, "20s", "5ms").Should(ContainSubstring("expelled"))
+		two.Store(false)
+		_, before := store.Calls()
+		for range 20 {
+			clock.now.Add(int64(10 * time.Second))
+			time.Sleep(lease.Pace)
+		}
+		_, after := store.Calls()
+		Expect(after).To(Equal(before))
+	})
+
 	It("counts suspend in its own clock", func() {
 		one := lease.Boot{}.Now()
 		Expect(lease.Boot{}.Now()).To(BeNumerically(">=", one))
--- a/internal/fleet/view/watch.go
+++ b/internal/fleet/view/watch.go
@@ -30,10 +30,10 @@
 	}
 }
 
-// follow returns when a call fails.
+// follow returns when a call fails or the context ends.
 func (w *Watcher) follow(ctx context.Context) {
 	batch, err := w.Store.List(ctx, Prefix)
-	for err == nil {
+	for err == nil && ctx.Err() == nil {
 		w.pass(batch)
 		batch, err = w.Store.Watch(ctx, Prefix, batch.Revision)
 	}
