Hand shards over before a planned stop

Release installs views that a living copy owns, so that the next claim is served at once.

Tests for the handover, for the retention and for a full table pass.

--- a/internal/entry/claim/claim_test.go
+++ b/internal/entry/claim/claim_test.go
@@ -269,4 +269,35 @@
 		reply, _ := early.Claim(request("k", "2"), 0)
 		Expect(reply.Status).To(Equal(claim.Outcome))
 	})
+
+	It("hand their shards over when they stop", func() {
+		s := newSite("a", "b", "c")
+		s.settle()
+		Expect(s.claim(1, "k", "1").Status).To(Equal(claim.New))
+		first := s.members[0]
+		Expect(s.keepers[first].Release(context.Background())).To(BeEmpty())
+		s.spread(first)
+		Expect(s.owner()).To(Equal(s.members[1]))
+		Expect(s.claim(0, "k", "2").Status).To(Equal(claim.Running))
+		Expect(s.claim(0, "l", "3").Status).To(Equal(claim.New), "without a wait for its failure")
+		s.keepers[first].Tick(context.Background()).Wait()
+		s.keepers[s.members[1]].Tick(context.Background()).Wait()
+		Expect(s.owner()).To(Equal(s.members[1]))
+	})
+
+	It("forget a record when its retention has passed, and take no more than they hold", func() {
+		table := claim.Table{Self: view.Member{Host: "a", Incarnation: 1}, Shard: "s", Rows: 1}
+		v := view.First("s", "z", table.Self)
+		v.Version = 1
+		table.Adopt(v)
+		table.Claim(request("k", "1"), 0)
+		reply, _ := table.Claim(request("l", "2"), 0)
+		Expect(reply.Status).To(Equal(claim.Busy))
+		table.Expire(time.Minute + claim.Retention - 1)
+		Expect(table.Len()).To(Equal(1))
+		table.Expire(time.Minute + claim.Retention)
+		Expect(table.Len()).To(BeZero())
+		_, ask := table.Claim(request("l", "2"), time.Hour)
+		Expect(ask.Needed()).To(BeTrue())
+	})
 })
--- a/internal/entry/claim/keeper.go
+++ b/internal/entry/claim/keeper.go
@@ -53,6 +53,8 @@
 	mu     sync.Mutex
 	shards map[string]*kept
 	closed bool
+	// leaving says that the host is about to stop, so that it plans nothing.
+	leaving bool
 }
 
 type kept struct {
@@ -128,6 +130,9 @@
 // a group that is done when the steps are.
 func (k *Keeper) Tick(ctx context.Context) *sync.WaitGroup {
 	var group sync.WaitGroup
+	if k.isLeaving() {
+		return &group
+	}
 	for _, name := range k.mine() {
 		found := k.open(name) //nolint:contextcheck // a duty outlives the call that starts it
 		if found == nil || found.busy.Swap(true) {
@@ -290,6 +295,12 @@
 	return true
 }
 
+func (k *Keeper) isLeaving() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.leaving
+}
+
 func (k *Keeper) find(name string) *kept {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/fleet/view/rule.go
+++ b/internal/fleet/view/rule.go
@@ -42,6 +42,18 @@
 	return next, true
 }
 
+// Handover returns the next view, in which the first copy that lives owns the
+// shard and the owner, which is about to stop, is no member. It returns false
+// when no copy lives.
+func Handover(v View, alive Alive) (View, bool) {
+	for _, member := range v.Copies {
+		if alive(member) {
+			return Takeover(v, member, alive)
+		}
+	}
+	return View{}, false
+}
+
 // Replace returns the next view of an owner that sets its copies. Every copy
 // must live or be up to date, rule 2.
 func Replace(v View, copies []Member) View {
