Take back a claim that could not be stored everywhere

An owner that could not reach a copy replied that nothing was decided, and kept the claim: the caller's next attempt then got that another one is running, and later that the outcome is unknown, although nothing had run. The owner now takes back a claim that it opened itself and never granted, and the second look at a request opens no claim anew. The explored model takes claims back at any time.

The new test fails when the claim is kept.

--- a/internal/entry/claim/claim.go
+++ b/internal/entry/claim/claim.go
@@ -18,7 +18,10 @@
 //     An owner replies Moved for a key minted under a later epoch than its own.
 //  7. A record is kept for Retention after its end. Callers may repeat a key
 //     for that long. A full table replies Busy and forgets nothing early.
-//  8. While a host is being brought up to date, each New also needs its
+//  8. An owner that could not have a claim stored everywhere takes it back if it
+//     opened the claim itself and never granted it. What copies keep of it
+//     gives way to the next claim; a copy that takes over replies Outcome.
+//  9. While a host is being brought up to date, each New also needs its
 //     acknowledgment, and this lasts until the outcome of installing the view
 //     that lists it is certain. Such a host holds every claim when it becomes
 //     a copy, and replies don't stop meanwhile.
@@ -45,6 +48,7 @@
 	ends   time.Duration // when the attempt has ended, by the member's clock
 	stored map[view.Member]bool
 	epoch  uint64 // under which the claim was made or copied
+	own    bool   // this owner opened it and has not granted it
 }
 
 // Table is one member's state of one shard. It has no clock: now is the time
@@ -57,7 +61,7 @@
 	Rows    int
 	current view.View
 	floor   uint64        // lowest epoch accepted, rule 2
-	joining []view.Member // hosts being brought up to date, rule 8
+	joining []view.Member // hosts being brought up to date, rule 9
 	rows    map[Key]*row
 }
 
--- a/internal/entry/claim/claim_test.go
+++ b/internal/entry/claim/claim_test.go
@@ -300,4 +300,14 @@
 		_, ask := table.Claim(request("l", "2"), time.Hour)
 		Expect(ask.Needed()).To(BeTrue())
 	})
+
+	It("take back a claim that a copy could not store, so that the next attempt gets it", func() {
+		s := newSite("a", "b", "c")
+		s.settle()
+		s.dead[s.members[1]] = true // before its owner notices
+		Expect(s.claim(0, "k", "1").Status).To(BeElementOf(claim.Busy, claim.Moved))
+		s.dead[s.members[1]] = false
+		Expect(s.claim(0, "k", "2").Status).To(Equal(claim.New))
+		Expect(s.claim(0, "k", "1").Status).To(Equal(claim.Running))
+	})
 })
--- a/internal/entry/claim/command.go
+++ b/internal/entry/claim/command.go
@@ -60,9 +60,27 @@
 		State:   Claimed,
 		Within:  request.Within,
 	}, now)
+	r.own = true
 	return t.grant(r, now)
 }
 
+// Again decides a request whose claim was asked for before. It opens none.
+func (t *Table) Again(request Request, now time.Duration) (Reply, Ask) {
+	if t.rows[request.Key] == nil && t.Owner() {
+		return Reply{Status: Busy}, Ask{}
+	}
+	return t.Claim(request, now)
+}
+
+// Withdraw takes back a claim that could not be stored everywhere, if the
+// attempt has not been granted it. Rule 8.
+func (t *Table) Withdraw(key Key, attempt string) {
+	r := t.rows[key]
+	if r != nil && r.own && r.record.Attempt == attempt && r.record.State == Claimed {
+		delete(t.rows, key)
+	}
+}
+
 // grant replies New once every copy has stored the row. Rule 1.
 func (t *Table) grant(r *row, now time.Duration) (Reply, Ask) {
 	if now >= r.ends {
@@ -70,6 +88,7 @@
 	}
 	missing := t.waits(r)
 	if len(missing) == 0 {
+		r.own = false
 		return Reply{Status: New}, Ask{}
 	}
 	ask := Ask{Copy: Copy{Shard: t.Shard, Epoch: t.current.Epoch, Records: []Record{r.copied(now)}}}
@@ -123,6 +142,7 @@
 	if record.State > r.record.State || record.State == r.record.State && record.Attempt != r.record.Attempt {
 		ends := max(r.ends, now+record.Within)
 		r.record = record
+		r.own = false
 		r.ends = ends
 		r.epoch = t.floor
 	}
@@ -197,7 +217,7 @@
 // under says whether the claim was made under the lost epoch itself.
 func (t *Table) under(r *row) bool { return r.epoch >= t.current.Lost }
 
-// Join makes each New need the acknowledgment of the members too. Rule 8.
+// Join makes each New need the acknowledgment of the members too. Rule 9.
 func (t *Table) Join(members []view.Member) {
 	for _, member := range members {
 		if !slices.Contains(t.joining, member) {
--- a/internal/entry/claim/explore_test.go
+++ b/internal/entry/claim/explore_test.go
@@ -83,10 +83,11 @@
 	return v
 }
 
-// model is a protocol under search, with planned stops when handover is set.
+// model is a protocol under search, with planned stops and claims taken back
+// when whole is set.
 type model struct {
-	weak     weak
-	handover bool
+	weak  weak
+	whole bool
 }
 
 func (m model) first(faults, crashes int, lone bool) world {
@@ -141,6 +142,11 @@
 		if !w.hosts[i].table.Owner() {
 			break
 		}
+		if m.whole && w.hosts[i].table.Has(claim.Key{Workspace: "w", ID: "k"}) {
+			add(name+" withdraws attempt "+attempt, func(n *world) {
+				n.hosts[i].table.Withdraw(claim.Key{Workspace: "w", ID: "k"}, attempt)
+			})
+		}
 		add(name+" is asked by attempt "+attempt, func(n *world) { m.claim(n, i, a, attempt) })
 	}
 	if w.hosts[i].table.View().Version < w.store.Cells[0].Version {
@@ -327,7 +333,7 @@
 	if len(v.Copies) > 0 {
 		add(name+" drops a copy", func(n *world) { n.hosts[i].start(v, view.Replace(v, v.Copies[1:])) })
 	}
-	if len(v.Copies) > 0 && m.handover {
+	if len(v.Copies) > 0 && m.whole {
 		add(name+" hands over", func(n *world) {
 			next, _ := view.Handover(v, func(view.Member) bool { return true })
 			n.hosts[i].start(v, next)
--- a/internal/entry/claim/export_test.go
+++ b/internal/entry/claim/export_test.go
@@ -11,7 +11,7 @@
 	var b strings.Builder
 	fmt.Fprint(&b, t.current, t.floor, t.joining)
 	for _, r := range t.rows {
-		fmt.Fprint(&b, r.record.Attempt, r.stored)
+		fmt.Fprint(&b, r.record.Attempt, r.own, r.stored)
 	}
 	return b.String()
 }
--- a/internal/entry/claim/interleavings_test.go
+++ b/internal/entry/claim/interleavings_test.go
@@ -27,7 +27,7 @@
 		if testing.Short() {
 			count = walks / 6
 		}
-		m := model{handover: true}.explored(faults, crashes, lone)
+		m := model{whole: true}.explored(faults, crashes, lone)
 		near := explore.Search(m, 2*count)
 		AddReportEntry("claim, search", near.String())
 		Expect(near.Broken).NotTo(HaveOccurred(), near.String())
--- a/internal/entry/claim/shard.go
+++ b/internal/entry/claim/shard.go
@@ -120,7 +120,7 @@
 // the context ends. A claim that could not be stored everywhere is Busy: the
 // attempt may ask again, and must not run.
 func (s *Shard) Claim(ctx context.Context, request Request) Reply {
-	reply, ask, ok := s.decide(request)
+	reply, ask, ok := s.decide((*Table).Claim, request)
 	if !ok {
 		return Reply{Status: Busy}
 	}
@@ -128,19 +128,20 @@
 		return reply
 	}
 	s.collect(ctx, request, ask)
-	reply, ask, ok = s.decide(request)
+	reply, ask, ok = s.decide((*Table).Again, request)
 	if !ok || ask.Needed() {
+		s.do(func(t *Table) { t.Withdraw(request.Key, request.Attempt) })
 		return Reply{Status: Busy}
 	}
 	return reply
 }
 
-func (s *Shard) decide(request Request) (Reply, Ask, bool) {
+func (s *Shard) decide(how func(*Table, Request, time.Duration) (Reply, Ask), request Request) (Reply, Ask, bool) {
 	var (
 		reply Reply
 		ask   Ask
 	)
-	ok := s.do(func(t *Table) { reply, ask = t.Claim(request, s.clock.Now()) })
+	ok := s.do(func(t *Table) { reply, ask = how(t, request, s.clock.Now()) })
 	return reply, ask, ok
 }
 
