Forget acknowledgments of hosts that are gone; cover all hosts at once

A meter kept what each earlier process of its copies had acknowledged for as long as it ran, and the sealer told one host after the other what is sealed, so that slow hosts could use up its turn.

Tests of usage pass, race detector on; one more for the acknowledgments.

--- a/internal/billing/usage/book.go
+++ b/internal/billing/usage/book.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/hyssopwall/hyssopwall/internal/fleet/view"
@@ -59,6 +60,12 @@
 // Drop forgets what a failed target acknowledged.
 func (b *Book) Drop(target view.Member) { delete(b.sent, target) }
 
+// Retain forgets what targets acknowledged that are no longer among the hosts.
+// A restarted host is another one, so that the list would grow for ever.
+func (b *Book) Retain(hosts []view.Member) {
+	maps.DeleteFunc(b.sent, func(target view.Member, _ Tally) bool { return !slices.Contains(hosts, target) })
+}
+
 // Cover notes what is sealed and forgets the copies that it covers. Rule 7.
 func (b *Book) Cover(message Cover) {
 	for _, row := range message.Rows {
--- a/internal/billing/usage/meter.go
+++ b/internal/billing/usage/meter.go
@@ -261,10 +261,12 @@
 }
 
 func (m *Meter) expire() {
+	hosts := m.Hosts()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.Now()
 	m.book.Expire(At(now))
+	m.book.Retain(hosts)
 	for host, until := range m.suspect {
 		if now.After(until) {
 			delete(m.suspect, host)
--- a/internal/billing/usage/sealer.go
+++ b/internal/billing/usage/sealer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/fleet/lease"
@@ -229,18 +230,24 @@
 	return all
 }
 
-// cover tells each host what of its holdings is sealed. A lost message is made
-// up for at the next window.
+// cover tells all hosts at once what of their holdings is sealed. A lost
+// message is made up for at the next window.
 func (s *Sealer) cover(ctx context.Context, answers []Holdings) {
+	var group sync.WaitGroup
+	defer group.Wait()
 	for _, answer := range answers {
 		rows := s.ledger.Covered(answer.Rows)
-		for _, row := range rows {
-			if row.Cell.Window < s.ledger.Next-1 {
-				s.Log.Emit(event.UsageLate, "source", row.Cell.Source.String(), "window", row.Cell.Window.String())
-			}
-		}
+		s.noteLate(rows)
 		if len(rows) > 0 {
-			_ = s.Peers.Cover(ctx, answer.From, Cover{Rows: rows})
+			group.Go(func() { _ = s.Peers.Cover(ctx, answer.From, Cover{Rows: rows}) })
+		}
+	}
+}
+
+func (s *Sealer) noteLate(rows []Row) {
+	for _, row := range rows {
+		if row.Cell.Window < s.ledger.Next-1 {
+			s.Log.Emit(event.UsageLate, "source", row.Cell.Source.String(), "window", row.Cell.Window.String())
 		}
 	}
 }
--- a/internal/billing/usage/usage_test.go
+++ b/internal/billing/usage/usage_test.go
@@ -283,4 +283,17 @@
 		Expect(1 / perYear).To(BeNumerically(">", 10_000))
 		Expect(math.Round(usage.Odds(390, 64, usage.Length))).To(BeNumerically("~", 3, 2))
 	})
+
+	It("forgets what hosts that are gone have acknowledged, and sends it to others", func() {
+		book := usage.Book{Self: counter(0)}
+		book.Add("forge", usage.At(begin), one)
+		rows := book.Pending(counter(1), f.alive)
+		Expect(rows).To(HaveLen(1))
+		book.Acked(counter(1), rows)
+		Expect(book.Pending(counter(1), f.alive)).To(BeEmpty())
+		book.Retain([]view.Member{counter(1)})
+		Expect(book.Pending(counter(1), f.alive)).To(BeEmpty())
+		book.Retain([]view.Member{counter(2)})
+		Expect(book.Pending(counter(1), f.alive)).To(HaveLen(1))
+	})
 })
