--- a/internal/entry/claim/keeper.go
+++ b/internal/entry/claim/keeper.go
@@ -11,6 +11,7 @@
 	"github.com/hyssopwall/hyssopwall/internal/fleet/commit"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/view"
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
 )
 
 // Bounds of the keeper.
@@ -47,10 +48,13 @@
 	// Names are the shards whose home is this host's availability zone.
 	Names []string
 	Book  *view.Book
+	Log   event.Log
 
 	mu     sync.Mutex
 	shards map[string]*kept
 	closed bool
+	// leaving says that the host is about to stop, so that it plans nothing.
+	leaving bool
 }
 
 type kept struct {
@@ -126,6 +130,9 @@
 // a group that is done when the steps are.
 func (k *Keeper) Tick(ctx context.Context) *sync.WaitGroup {
 	var group sync.WaitGroup
+	if k.isLeaving() {
+		return &group
+	}
 	for _, name := range k.mine() {
 		found := k.open(name) //nolint:contextcheck // a duty outlives the call that starts it
 		if found == nil || found.busy.Swap(true) {
@@ -211,7 +218,15 @@
 		_ = found.shard.install(ctx, from, next)
 	case Grow:
 		found.shard.grow(ctx, from, next)
-	case TakeOver, Shrink, Restart, Recover:
+	case TakeOver:
+		if found.shard.install(ctx, from, next) == nil {
+			k.Log.Emit(event.ShardTaken, "shard", next.Shard, "epoch", next.Epoch)
+		}
+	case Restart:
+		if found.shard.install(ctx, from, next) == nil {
+			k.Log.Emit(event.ShardLost, "shard", next.Shard, "epoch", next.Epoch)
+		}
+	case Shrink, Recover:
 		_ = found.shard.install(ctx, from, next)
 	}
 }
@@ -280,6 +295,12 @@
 	return true
 }
 
+func (k *Keeper) isLeaving() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.leaving
+}
+
 func (k *Keeper) find(name string) *kept {
 	k.mu.Lock()
 	defer k.mu.Unlock()
