Judge no attempt by its first moments

A few seconds after its start an attempt has spent most of its time on its prompt, or in the pause of a weight load, and looked slow: the hedges of a step went out in one batch at its start, and none were left for real stragglers. An attempt's pace now counts after 15 s.

--- a/internal/rollout/step/hedge.go
+++ b/internal/rollout/step/hedge.go
@@ -89,11 +89,11 @@
 	if now.Sub(a.moved) >= l.policy.Stall {
 		return stalePenalty
 	}
-	age := now.Sub(a.started).Seconds()
-	if age <= 0 || a.tokens <= a.resumed {
+	age := now.Sub(a.started)
+	if age < l.policy.Settle || a.tokens <= a.resumed {
 		return 0
 	}
-	pace := float64(a.tokens-a.resumed) / age
+	pace := float64(a.tokens-a.resumed) / age.Seconds()
 	return seconds((l.length(l.slots[a.slot].group, a.tokens) - float64(a.tokens)) / pace)
 }
 
--- a/internal/rollout/step/policy.go
+++ b/internal/rollout/step/policy.go
@@ -9,6 +9,7 @@
 	DefaultHedgeShare     = 0.05
 	DefaultHedgeGain      = 1.5
 	DefaultStall          = 30 * time.Second
+	DefaultSettle         = 15 * time.Second
 	DefaultBackoff        = 200 * time.Millisecond
 	MaxBackoff            = 10 * time.Second
 	maxChunkText          = 2 << 20 // bytes
@@ -21,6 +22,7 @@
 	HedgeShare     float64       // hedged tokens as a share of the step's expected tokens; negative for no hedges
 	HedgeGain      float64       // a hedge has to be expected to end this many times sooner
 	Stall          time.Duration // an attempt without a token for this long is taken as stuck
+	Settle         time.Duration // an attempt's pace is judged after this long, past its prompt and a pause
 	Backoff        time.Duration // wait after a first failure; doubles up to MaxBackoff
 	ReleasePeriod  time.Duration // expected time between weight versions, zero if not known
 	Arrival        bool          // keep the order of the plan instead of long first
@@ -32,6 +34,7 @@
 	fill(&p.HedgeShare, DefaultHedgeShare)
 	fill(&p.HedgeGain, DefaultHedgeGain)
 	fill(&p.Stall, DefaultStall)
+	fill(&p.Settle, DefaultSettle)
 	fill(&p.Backoff, DefaultBackoff)
 	return p
 }
