--- a/internal/rollout/reclaim/capacity.go
+++ b/internal/rollout/reclaim/capacity.go
@@ -13,8 +13,8 @@
 //     lately reclaimed or refused any.
 //  4. On-demand servers cover what spot lacks only when waiting longer for spot
 //     would miss a deadline, or when spot is not cheaper.
-//  5. Growth is at once; a shrink waits until the lower figure has held for a
-//     while, and on-demand servers go first.
+//  5. Growth is at once; a shrink waits until less has been wanted for a while,
+//     and goes no lower than the most that was wanted in that time.
 package reclaim
 
 import (
@@ -86,6 +86,7 @@
 
 	short time.Time // since when spot has fallen short
 	low   time.Time // since when less would do
+	peak  counts    // most wanted since low
 	last  counts
 }
 
@@ -184,7 +185,8 @@
 	return zone.Reclaimed.IsZero() || now.Sub(zone.Reclaimed) >= cmp.Or(p.Policy.Cooldown, DefaultCooldown)
 }
 
-// hold delays a shrink (rule 5).
+// hold delays a shrink, and then goes down to the most that was wanted
+// meanwhile (rule 5). A short dip between two steps gives nothing back.
 func (p *Planner) hold(now time.Time, wanted counts) counts {
 	if wanted.spot+wanted.demand >= p.last.spot+p.last.demand {
 		p.low = time.Time{}
@@ -192,14 +194,15 @@
 		return wanted
 	}
 	if p.low.IsZero() {
-		p.low = now
+		p.low, p.peak = now, counts{}
 	}
+	p.peak = counts{max(p.peak.spot, wanted.spot), max(p.peak.demand, wanted.demand)}
 	if now.Sub(p.low) < cmp.Or(p.Policy.Hold, DefaultHold) {
 		return counts{max(wanted.spot, p.last.spot), max(wanted.demand, p.last.demand)}
 	}
 	p.low = time.Time{}
-	p.last = wanted
-	return wanted
+	p.last = p.peak
+	return p.last
 }
 
 // spread divides the counts over the zones: spot over the open ones, on-demand
