--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -31,6 +31,7 @@
 	Identity string
 	Deadline time.Time
 	Priority int
+	Internal bool // part of another request, which is counted and judged instead
 }
 
 // Dispatcher runs admitted requests. Errors are *Error.
@@ -53,6 +54,7 @@
 	Steps      Steps
 	Ready      func() error
 	Vars       *expvar.Map
+	Status     func() any // what operators see of the host
 }
 
 // Handler returns the HTTP handler of the whole interface.
@@ -73,6 +75,7 @@
 	e.GET("/healthz", func(c echo.Context) error { return c.JSON(http.StatusOK, health{Status: "ok"}) })
 	e.GET("/readyz", s.ready)
 	e.GET("/debug/vars", s.vars)
+	e.GET("/debug/status", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Status()) })
 	return e
 }
 
