entry/route: prefer one zone for each prompt while the hop is cheaper

At the small sites each zone has two to four engines, whose caches can't hold the prompts of all workspaces, and every zone computed every prompt. A zone boundary costs about a millisecond there, a prompt most of a second. SpillPrompt prefers one zone for each prefix among those with news, by weighted rendezvous hashing, and counts the prompt as a cost elsewhere. Spill is unchanged; plain services and a zone without news of others stay local.

--- a/internal/entry/compare/fleet.go
+++ b/internal/entry/compare/fleet.go
@@ -175,15 +175,12 @@
 		}
 	}
 	way := messageTime
-	if zone := route.Spill(now, fl.workspace(fi), own, hops); zone != "" {
+	prompt := fl.promptOf(fi)
+	if zone := route.SpillPrompt(now, fl.workspace(fi), prompt, own, hops); zone != "" {
 		entry = fl.anyOf(zone)
 		way += fl.world.site.Hop
 	}
-	prefix := uint64(0)
-	if fl.policy.Prefix {
-		prefix = prefixesOf(fi.request.group)[0]
-	}
-	name, ok := entry.picker.Pick(now, pool, fl.workspace(fi), prefix)
+	name, ok := entry.picker.Pick(now, pool, fl.workspace(fi), prompt.Prefix)
 	if !ok {
 		fl.finish(fi, attempt.Event{Kind: attempt.EventExpire})
 		return
@@ -192,6 +189,17 @@
 	fl.world.after(way, func() { fi.home.enqueue(fi) })
 }
 
+func (fl *fleet) promptOf(fi *flight) route.Prompt {
+	if !fl.policy.Prefix {
+		return route.Prompt{}
+	}
+	seconds := sharedPrompt * promptFactor / engineSpeed
+	return route.Prompt{
+		Prefix: prefixesOf(fi.request.group)[0],
+		Worth:  time.Duration(seconds * float64(time.Second)),
+	}
+}
+
 func (fl *fleet) anyOf(zone string) *host {
 	var hosts []*host
 	for _, h := range fl.hosts {
--- a/internal/entry/route/route_test.go
+++ b/internal/entry/route/route_test.go
@@ -152,6 +152,39 @@
 		})
 	}
 
+	It("brings a prompt to one zone from all, while that is worth the hop", func() {
+		zones := []route.Summary{
+			{Host: "z1", Zone: "z1", Slots: 8, At: now}, {Host: "z2", Zone: "z2", Slots: 8, At: now}, {Host: "z3", Zone: "z3", Slots: 8, At: now},
+		}
+		ask := func(own int, prompt route.Prompt, cost time.Duration, at time.Time) string {
+			var hops []route.Hop
+			for i, zone := range zones {
+				if i != own {
+					hops = append(hops, route.Hop{Total: zone, Cost: cost})
+				}
+			}
+			if to := route.SpillPrompt(at, "w", prompt, zones[own], hops); to != "" {
+				return to
+			}
+			return zones[own].Zone
+		}
+		got := map[string]int{}
+		for i := range 300 {
+			prompt := route.Prompt{Prefix: uint64(i+1) * 0x9e3779b97f4a7c15, Worth: time.Second}
+			zone := ask(0, prompt, time.Millisecond, now)
+			got[zone]++
+			Expect(ask(1, prompt, time.Millisecond, now)).To(Equal(zone))
+			Expect(ask(2, prompt, time.Millisecond, now)).To(Equal(zone))
+			Expect(ask(1, prompt, 2*time.Second, now)).To(Equal("z2"), "the hop costs more than the prompt")
+			Expect(ask(1, prompt, time.Millisecond, now.Add(time.Minute))).To(Equal("z2"), "without news of others")
+			busy := zones[0]
+			zones[0].SetWaits(map[string]time.Duration{"w": 3 * time.Second})
+			Expect(ask(1, prompt, time.Millisecond, now)).NotTo(Equal("z1"), "the wait is longer than the prompt takes")
+			zones[0] = busy
+		}
+		Expect(got).To(HaveLen(3))
+	})
+
 	It("moves only the backend servers of a host that leaves", func() {
 		hosts := []string{"h1", "h2", "h3", "h4"}
 		before, after := route.NewHomes(hosts), route.NewHomes(hosts[:3])
--- a/internal/entry/route/spill.go
+++ b/internal/entry/route/spill.go
@@ -23,18 +23,68 @@
 // wait there and the hop together; zones without news for summaryExpiry don't
 // count.
 func Spill(now time.Time, workspace string, own Summary, hops []Hop) string {
-	best, target := own.WaitOf(workspace)-spillMargin, ""
+	return SpillPrompt(now, workspace, Prompt{}, own, hops)
+}
+
+// Prompt is the start of a request's prompt: its hash, zero for none, and the
+// time that an engine takes to compute it when its cache lacks it.
+type Prompt struct {
+	Prefix uint64
+	Worth  time.Duration
+}
+
+// SpillPrompt is Spill for a request with a prompt that a cache may hold. Each
+// prefix has a preferred availability zone, by weighted rendezvous hashing; in
+// any other the prompt is expected to cost its worth on top of the wait, and
+// the wait must be shorter by loadBound, since waits of a busy site differ all
+// the time and prompts computed again cost everybody. A site
+// whose zones are small thus uses the caches of all of them together, as long
+// as the hop costs less than the prompt. Zones without news count for nothing,
+// so that a zone that is cut off prefers itself.
+func SpillPrompt(now time.Time, workspace string, prompt Prompt, own Summary, hops []Hop) string {
+	preferred := preferredZone(now, prompt.Prefix, own, hops)
+	cost := func(total Summary) time.Duration {
+		if preferred == "" || total.Zone == preferred {
+			return total.WaitOf(workspace)
+		}
+		return time.Duration(loadBound*float64(total.WaitOf(workspace))) + prompt.Worth
+	}
+	best, target := cost(own)-spillMargin, ""
 	for _, hop := range hops {
-		if now.Sub(hop.Total.At) > summaryExpiry || hop.Total.Slots == 0 {
+		if !hop.isOpen(now) {
 			continue
 		}
-		if cost := hop.Total.WaitOf(workspace) + hop.Cost; cost < best {
-			best, target = cost, hop.Total.Zone
+		if there := cost(hop.Total) + hop.Cost; there < best {
+			best, target = there, hop.Total.Zone
 		}
 	}
 	return target
 }
 
+func (h Hop) isOpen(now time.Time) bool {
+	return now.Sub(h.Total.At) <= summaryExpiry && h.Total.Slots > 0
+}
+
+func preferredZone(now time.Time, prefix uint64, own Summary, hops []Hop) string {
+	if prefix == 0 {
+		return ""
+	}
+	zone, best := "", 0.0
+	consider := func(total Summary) {
+		score := weightedScore(xxhash.Sum64String(total.Zone)^prefix, float64(total.Slots))
+		if score > best {
+			zone, best = total.Zone, score
+		}
+	}
+	consider(own)
+	for _, hop := range hops {
+		if hop.isOpen(now) {
+			consider(hop.Total)
+		}
+	}
+	return zone
+}
+
 // PrefixHashes returns the hash of each prefix of a prompt that ends at a
 // block boundary, shortest first. block is the block's length in bytes.
 func PrefixHashes(prompt string, block int) []uint64 {
