entry/queue: learn nothing from an answer that did not wait in the queue

The end of a hedge is charged to its workspace with an item that declared no tokens. Its running time counted as that of one token, which made the queue expect hundreds of seconds and refuse requests. Such answers no longer teach.

--- a/internal/entry/queue/learn.go
+++ b/internal/entry/queue/learn.go
@@ -73,14 +73,16 @@
 	return (e.mean + deviations*e.spread) * fade(now, e.at)
 }
 
-// learn takes in the whole answer to an item.
+// learn takes in the whole answer to an item. An item without declared tokens,
+// such as that of a hedge, which never waited here, says nothing of others.
 func (q *Queue) learn(now time.Time, f *flow, item Item, result Result) {
-	declared := float64(max(1, item.Tokens))
-	if item.Tokens > 0 {
-		sample := float64(result.Used) / declared
-		f.ratio.add(now, sample)
-		q.ratio.add(now, sample)
+	if item.Tokens <= 0 {
+		return
 	}
+	declared := float64(item.Tokens)
+	sample := float64(result.Used) / declared
+	f.ratio.add(now, sample)
+	q.ratio.add(now, sample)
 	if result.Took > 0 {
 		q.pace.add(now, result.Took.Seconds()/declared)
 	}
--- a/internal/entry/queue/queue_test.go
+++ b/internal/entry/queue/queue_test.go
@@ -146,6 +146,18 @@
 		})
 	})
 
+	It("learns nothing from an answer that did not wait here", func() {
+		q := queue.New(queue.Config{MinSpeed: 100})
+		now := time.Unix(1000, 0)
+		for range 100 {
+			q.Settle(now, queue.Item{Workspace: "a"}, queue.Result{Used: 200, Took: 10 * time.Second, Whole: true})
+		}
+		for _, workspace := range []string{"b", "c"} {
+			_, err := q.Push(now, queue.Item{ID: workspace, Workspace: workspace, Tokens: 100, Deadline: now.Add(5 * time.Second)})
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
 	It("loses and doubles nothing", func() {
 		rapid.Check(GinkgoT(), conserve)
 	})
