entry/attempt: let hedges make way for retries

Half of the budget for hedges still left too little for the requests that a crash of an engine breaks at once. A hedge is now allowed only while less than half of the budget is in use by hedges and retries together.

--- a/internal/entry/attempt/attempt_test.go
+++ b/internal/entry/attempt/attempt_test.go
@@ -170,6 +170,10 @@
 		}
 		Expect(hedges).To(Equal(51))
 		Expect(retries).To(Equal(52))
+		for range 1000 {
+			b.Request(now)
+		}
+		Expect(b.TakeHedge(now)).To(BeFalse(), "retries took the half")
 	})
 
 	It("hedges after the 95th percentile and not before enough is known", func() {
--- a/internal/entry/attempt/budget.go
+++ b/internal/entry/attempt/budget.go
@@ -11,7 +11,7 @@
 	DefaultReserve = 3
 )
 
-// hedgePart is the part of the budget that hedges may use.
+// hedgePart is the part of the budget up to which hedges are allowed.
 const hedgePart = 0.5
 
 // budgetSeconds is the number of seconds over which requests are counted.
@@ -33,7 +33,6 @@
 	second   int64
 	requests int
 	extra    int
-	hedges   int // part of extra
 }
 
 // Request counts a new request.
@@ -56,19 +55,17 @@
 	return true
 }
 
-// TakeHedge takes one extra send for a hedge. Hedges may use half of the
-// budget, so that requests that failed can still be repeated.
+// TakeHedge takes one extra send for a hedge. It is allowed while less than
+// half of the budget is in use, so that hedges make way for retries.
 func (b *Budget) TakeHedge(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.current(now)
 	sum := b.sum(now)
-	bound := b.bound(sum)
-	if float64(sum.extra+1) > bound || float64(sum.hedges+1) > hedgePart*bound {
+	if float64(sum.extra+1) > hedgePart*b.bound(sum) {
 		return false
 	}
 	current.extra++
-	current.hedges++
 	return true
 }
 
@@ -97,7 +94,6 @@
 		if t.second > oldest {
 			sum.requests += t.requests
 			sum.extra += t.extra
-			sum.hedges += t.hedges
 		}
 	}
 	return sum
