--- a/internal/fleet/scale/scale_test.go
+++ b/internal/fleet/scale/scale_test.go
@@ -187,3 +187,24 @@
 		})
 	}
 }
+
+// BenchmarkSlopes varies the hosts of a zone and the zones of a fleet alone.
+func BenchmarkSlopes(b *testing.B) {
+	for _, shape := range [][2]int{{7, 1}, {14, 1}, {28, 1}, {56, 1}, {112, 1}, {7, 4}, {7, 14}, {7, 28}, {7, 56}} {
+		b.Run(fmt.Sprintf("zone=%d/zones=%d", shape[0], shape[1]), func(b *testing.B) {
+			p := plan(390)
+			p.Hosts, p.Zones, p.Regions = shape[0]*shape[1], shape[1], min(5, shape[1])
+			heap := live()
+			f := scale.Started(p)
+			memory := live() - heap
+			for b.Loop() {
+				figures := f.Steady(20 * time.Second)
+				b.ReportMetric(figures.MeanBytes, "B/s/mean")
+				b.ReportMetric(figures.WorstBytes, "B/s/worst")
+				b.ReportMetric(figures.PlatformCalls, "calls/s")
+				b.ReportMetric(b.Elapsed().Seconds()/20/float64(p.Hosts)*1e6, "µs/host-s")
+				b.ReportMetric(float64(memory)/float64(p.Hosts)/1024, "KiB/host")
+			}
+		})
+	}
+}
