--- a/internal/fleet/spread/accept.go
+++ b/internal/fleet/spread/accept.go
@@ -128,6 +128,9 @@
 		a.previous, _ = current.with(current.Body)
 	}
 	record := NewRecord(a.next, a.previous)
+	if current.large() {
+		record.Before = current.ID
+	}
 	if record.large() && !a.bodied {
 		if err := a.storeBody(ctx); err != nil {
 			return false, err
--- a/internal/fleet/spread/record.go
+++ b/internal/fleet/spread/record.go
@@ -33,8 +33,8 @@
 	Body    []byte    `cbor:"5,keyasint,omitempty"`
 	Digest  uint64    `cbor:"6,keyasint"`
 	Change  *Delta    `cbor:"7,keyasint,omitempty"`
-	// Before is the ID of the version before, whose document may be removed
-	// once the next version is accepted.
+	// Before is the ID of the version before when its document stands in an
+	// object of its own, which may be removed once the next version is accepted.
 	Before string `cbor:"8,keyasint,omitempty"`
 }
 
@@ -58,7 +58,6 @@
 		At:      next.At,
 		ID:      next.ID,
 		Digest:  xxhash.Sum64(next.Body),
-		Before:  previous.ID,
 	}
 	if len(next.Body) <= maxInline {
 		r.Body = next.Body
