--- a/internal/fleet/roster/update.go
+++ b/internal/fleet/roster/update.go
@@ -89,6 +89,7 @@
 		m.returns = 0
 	} else {
 		m.returns++
+		s.index = nil
 		m.hold = s.now.Add(min(firstHold<<min(m.returns-1, 10), maxHold))
 	}
 	s.do(Changed{Member: m.Member})
@@ -119,6 +120,9 @@
 
 // tickSuspects runs rule 2.
 func (s *State) tickSuspects() {
+	if !s.derive().doubt {
+		return
+	}
 	for _, name := range s.sortedNames() {
 		m := s.members[name]
 		if m.Status == Suspect && !s.now.Before(m.deadline) {
--- a/internal/fleet/roster/view.go
+++ b/internal/fleet/roster/view.go
@@ -96,30 +96,13 @@
 const bridgeRank = 2
 
 func (s *State) isBridge() bool {
-	hosts := 1
-	for _, name := range s.names() {
-		if !s.now.Before(s.members[name].hold) {
-			hosts++
-		}
-	}
-	return s.rank() == min(bridgeRank, hosts-1)
+	return s.rank() == min(bridgeRank, s.derive().count-1)
 }
 
-// rank orders the members by age, the oldest first, so that a new host does
-// not displace the bridge.
+// rank is -1 while the host leaves.
 func (s *State) rank() int {
 	if s.leaving {
 		return -1
 	}
-	rank := 0
-	for _, m := range s.members {
-		if m.Status > Suspect || s.now.Before(m.hold) {
-			continue
-		}
-		older := cmp.Or(cmp.Compare(m.Incarnation, s.self.Incarnation), cmp.Compare(m.Name, s.self.Name))
-		if older < 0 {
-			rank++
-		}
-	}
-	return rank
+	return s.derive().rank
 }
