--- /dev/null
+++ b/internal/billing/burn/series.go
@@ -0,0 +1,97 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// bucket holds the events of one unit of time.
+type bucket struct {
+	At   int64
+	Good uint64
+	Bad  uint64
+}
+
+// counts is a list of buckets ordered by their numbers, without empty ones.
+type counts []bucket
+
+// add counts events and drops the buckets that have left the level.
+func (c *counts) add(l level, at int64, good, bad uint64) {
+	i, found := slices.BinarySearchFunc(*c, at, func(b bucket, n int64) int { return cmp.Compare(b.At, n) })
+	if !found {
+		*c = slices.Insert(*c, i, bucket{At: at})
+	}
+	(*c)[i].Good += good
+	(*c)[i].Bad += bad
+	if over := len(*c) - l.Count; over > 0 {
+		*c = slices.Delete(*c, 0, over)
+	}
+}
+
+// sum adds up the buckets from..to, both included.
+func (c counts) sum(from, to int64) (good, bad uint64) {
+	for _, b := range c {
+		if b.At >= from && b.At <= to {
+			good += b.Good
+			bad += b.Bad
+		}
+	}
+	return good, bad
+}
+
+// series is the history of one objective of one workspace.
+type series struct {
+	target   float64
+	levels   [levelCount]counts
+	sketches map[int64]*sketch
+}
+
+func (s *series) add(at time.Time, e Event) {
+	for i, l := range levels() {
+		s.levels[i].add(l, l.index(at), e.Good, e.Bad)
+	}
+	if e.Took > 0 {
+		s.sketchAt(sketched().index(at)).add(e.Took)
+	}
+}
+
+// sketchAt returns the sketch of a bucket, a loose one when it is too old to be
+// kept.
+func (s *series) sketchAt(at int64) *sketch {
+	if s.sketches == nil {
+		s.sketches = make(map[int64]*sketch)
+	}
+	one := s.sketches[at]
+	if one == nil {
+		one = newSketch()
+		s.sketches[at] = one
+		s.trim()
+	}
+	return one
+}
+
+// trim drops the oldest sketches beyond the level.
+func (s *series) trim() {
+	for len(s.sketches) > sketched().Count {
+		oldest := int64(0)
+		for at := range s.sketches {
+			if oldest == 0 || at < oldest {
+				oldest = at
+			}
+		}
+		delete(s.sketches, oldest)
+	}
+}
+
+// merge adds the history of another host.
+func (s *series) merge(other *series) {
+	for i, l := range levels() {
+		for _, b := range other.levels[i] {
+			s.levels[i].add(l, b.At, b.Good, b.Bad)
+		}
+	}
+	for at, one := range other.sketches {
+		s.sketchAt(at).merge(one)
+	}
+}
