Report the burn of every workspace, merged over hosts

Nothing fed the counts of objectives, and no command showed them.

Requests feed success and latency, hand-overs of steps feed step and fresh. "report burn" merges the hosts it is given, as text, JSON or a page that needs no script and no other file. An objective of one workspace takes the place of the one for all, so that no event counts twice; the check refuses doubled objectives and routes of step objectives.

The page was not looked at in a browser, since none is installed.

--- a/internal/billing/burn/book.go
+++ b/internal/billing/burn/book.go
@@ -1,6 +1,8 @@
 package burn
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,12 +22,16 @@
 	dropped    uint64
 }
 
-// SetObjectives replaces the objectives. A series whose objective is gone is
+// SetObjectives replaces the objectives. One that names a workspace takes the
+// place of one for all workspaces that counts the same. A series whose objective is gone is
 // dropped; one whose target alone has changed keeps its counts.
 func (b *Book) SetObjectives(objectives []document.Objective) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.objectives = objectives
+	b.objectives = slices.Clone(objectives)
+	slices.SortStableFunc(b.objectives, func(x, y document.Objective) int {
+		return cmp.Compare(y.Workspace, x.Workspace) // those of all workspaces last
+	})
 	for key, s := range b.series {
 		target, ok := b.target(key)
 		if !ok {
@@ -55,22 +61,24 @@
 func (b *Book) Observe(now time.Time, e Event) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	var counted []Key
 	for _, o := range b.objectives {
-		if o.Measure == e.Measure && covers(o.Workspace, e.Workspace) && covers(o.Route, e.Route) {
-			b.count(now, o, e)
+		key := Key{Workspace: e.Workspace, Route: o.Route, Measure: o.Measure, Within: time.Duration(o.Within)}
+		if o.Measure == e.Measure && covers(o.Workspace, e.Workspace) && covers(o.Route, e.Route) && !slices.Contains(counted, key) {
+			b.count(now, key, o.Target, e)
+			counted = append(counted, key)
 		}
 	}
 }
 
-func (b *Book) count(now time.Time, o document.Objective, e Event) {
-	key := Key{Workspace: e.Workspace, Route: o.Route, Measure: o.Measure, Within: time.Duration(o.Within)}
+func (b *Book) count(now time.Time, key Key, target float64, e Event) {
 	s := b.series[key]
 	if s == nil {
 		if len(b.series) >= maxSeries {
 			b.dropped++
 			return
 		}
-		s = &series{target: o.Target}
+		s = &series{target: target}
 		if b.series == nil {
 			b.series = make(map[Key]*series)
 		}
--- a/internal/billing/burn/report.go
+++ b/internal/billing/burn/report.go
@@ -57,8 +57,8 @@
 	Alarm   Alarm      `json:"alarm,omitempty"`
 	Rates   []Rate     `json:"rates"`
 	Times   *Quantiles `json:"times,omitempty"`
-	Minutes []Point    `json:"minutes"` // of the last hour
-	Hours   []Point    `json:"hours"`   // of the last three days
+	Minutes []Point    `json:"minutes,omitempty"` // of the last hour
+	Hours   []Point    `json:"hours,omitempty"`   // of the last three days
 }
 
 // Workspace holds the lines of one workspace, the worst first.
@@ -87,6 +87,20 @@
 	return reportOf(b.series, now, []string{host}, b.dropped)
 }
 
+// Brief returns the report without its points.
+func (r Report) Brief() Report {
+	brief := r
+	brief.Workspaces = slices.Clone(r.Workspaces)
+	for i := range brief.Workspaces {
+		lines := slices.Clone(brief.Workspaces[i].Lines)
+		for j := range lines {
+			lines[j].Minutes, lines[j].Hours = nil, nil
+		}
+		brief.Workspaces[i].Lines = lines
+	}
+	return brief
+}
+
 func reportOf(all map[Key]*series, now time.Time, hosts []string, dropped uint64) Report {
 	report := Report{At: now.UTC(), Hosts: hosts, Dropped: dropped, Workspaces: []Workspace{}}
 	lines := make(map[string][]Line)
--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -54,7 +54,8 @@
 	Steps      Steps
 	Ready      func() error
 	Vars       *expvar.Map
-	Status     func() any // what operators see of the host
+	Status     func() any             // what operators see of the host
+	Burn       func() ([]byte, error) // its burn snapshot, encoded
 }
 
 // Handler returns the HTTP handler of the whole interface.
@@ -76,6 +77,7 @@
 	e.GET("/readyz", s.ready)
 	e.GET("/debug/vars", s.vars)
 	e.GET("/debug/status", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Status()) })
+	e.GET("/debug/burn", s.burn)
 	return e
 }
 
@@ -93,3 +95,11 @@
 func (s *Server) vars(c echo.Context) error {
 	return c.JSONBlob(http.StatusOK, []byte(s.Vars.String()))
 }
+
+func (s *Server) burn(c echo.Context) error {
+	body, err := s.Burn()
+	if err != nil {
+		return err
+	}
+	return c.Blob(http.StatusOK, "application/cbor", body)
+}
--- a/internal/host/command/report.go
+++ b/internal/host/command/report.go
@@ -12,6 +12,7 @@
 )
 
 type reportCommand struct {
+	Burn  burnCommand  `cmd:"" help:"Show how fast workspaces use up the budgets of their objectives."`
 	Usage usageCommand `cmd:"" help:"Show the sealed usage windows, recomputed from their counters."`
 }
 
--- a/internal/host/server/document.go
+++ b/internal/host/server/document.go
@@ -35,6 +35,7 @@
 	}
 	s.index.Store(index)
 	s.quota.SetLimits(limitsOf(index), s.firstShare)
+	s.burn.SetObjectives(doc.Objectives)
 	s.home.SetWeights(sharesOf(index))
 	s.claims.SetZones(zonesOf(doc))
 	s.rolls.set(s.ctx, doc)
--- a/internal/host/server/server.go
+++ b/internal/host/server/server.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hyssopwall/hyssopwall/internal/billing/burn"
 	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
 	"github.com/hyssopwall/hyssopwall/internal/entry/poison"
 	"github.com/hyssopwall/hyssopwall/internal/entry/quota"
@@ -77,6 +78,7 @@
 	rolls    *rolls
 	claims   *claims.Claims
 	metering *metering.Metering
+	burn     burn.Book
 	index    atomic.Pointer[document.Index]
 	spread   *spread.Duty
 	draining atomic.Bool
@@ -140,12 +142,12 @@
 	s.publish()
 	s.steps = steps.New(steps.Config{
 		Host: set.Host, Store: s.store, Generator: s.generator, Scorer: s.scorer, Weights: s.weights,
-		Gate: &s.gate, Fleet: s.peers, Endpoint: s.endpoint, Meter: s.metering, Log: s.config.Log,
+		Gate: &s.gate, Fleet: s.peers, Endpoint: s.endpoint, Meter: s.metering, Observe: s.observeStep, Log: s.config.Log,
 	})
 	handler := (&api.Server{
 		Gate: &s.gate, Index: s.index.Load, CutOff: s.peers.cutOff, Now: time.Now,
 		Dispatcher: s.dispatch, Steps: s.steps, Ready: s.ready, Vars: &s.vars,
-		Status: func() any { return s.Status() },
+		Status: func() any { return s.Status() }, Burn: s.burnSnapshot,
 	}).Handler()
 	s.web = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 }
--- a/internal/host/server/vars.go
+++ b/internal/host/server/vars.go
@@ -21,6 +21,7 @@
 		"hosts":   func() any { return len(s.peers.all()) },
 		"traffic": func() any { return s.endpoint.Traffic() },
 		"duties":  func() any { return s.heldDuties() },
+		"burn":    func() any { return s.burn.Report(time.Now(), s.config.Settings.Host).Brief() },
 		"started": func() any { return time.Unix(0, int64(s.incarnation)).UTC() },
 	} {
 		s.vars.Set(name, expvar.Func(value))
@@ -34,4 +35,5 @@
 		outcome = "/good"
 	}
 	s.requests.Add(result.Workspace+"/"+result.Route+outcome, 1)
+	s.countRequest(result)
 }
--- a/internal/host/steps/call.go
+++ b/internal/host/steps/call.go
@@ -138,7 +138,11 @@
 	known := o.counted[chunk.Cursor] || len(chunk.Samples) == 0
 	o.counted[chunk.Cursor] = true
 	s.mu.Unlock()
-	if known || s.config.Meter == nil {
+	if known {
+		return
+	}
+	s.observe(ctx, id, o, chunk)
+	if s.config.Meter == nil {
 		return
 	}
 	tokens := 0
--- a/internal/host/steps/open.go
+++ b/internal/host/steps/open.go
@@ -55,6 +55,7 @@
 	if score != "" {
 		_ = s.copies.Save(ctx, scoreKey(id), []byte(score)) // without a copy, a new owner delivers unscored
 	}
+	adopted := time.Now()
 	owner, err := step.Open(ctx, s.ownerConfig(id, score), id, plan)
 	if err != nil {
 		return nil, s.refused(id, err)
@@ -71,6 +72,7 @@
 		_ = owner.Close()
 		return nil, api.RefuseFor(api.Draining, "the host stops", time.Second)
 	}
+	go s.began(context.WithoutCancel(ctx), id, o, adopted)
 	go s.watch(context.WithoutCancel(ctx), id, o)
 	return o, nil
 }
--- a/internal/host/steps/steps.go
+++ b/internal/host/steps/steps.go
@@ -48,6 +48,7 @@
 	Fleet     Fleet
 	Endpoint  *link.Endpoint
 	Meter     Meter
+	Observe   func(Outcome) // of each first hand-over; may be nil
 	Log       event.Log
 }
 
@@ -68,6 +69,8 @@
 	owner   *step.Owner
 	leave   func()
 	counted map[uint64]bool // cursors whose samples are counted
+	opened  time.Time       // zero while it is not known
+	stale   int             // samples found too old that were reported
 }
 
 // New returns the steps of a host and answers other hosts' calls about them.
--- a/internal/site/document/check.go
+++ b/internal/site/document/check.go
@@ -177,6 +177,7 @@
 }
 
 func (c checker) objectives(routes, workspaces names) {
+	seen := make(map[Objective]bool)
 	for i, objective := range c.doc.Objectives {
 		at := fmt.Sprintf("/objectives/%d", i)
 		if objective.Workspace != "" {
@@ -189,10 +190,19 @@
 			c.report.Add(at+"/target", "is not between 0 and 1", "use a share such as 0.99")
 		}
 		c.measure(at, objective)
+		key := objective
+		key.Target = 0
+		if seen[key] {
+			c.report.Add(at, "counts the same as an earlier objective", "remove one")
+		}
+		seen[key] = true
 	}
 }
 
 func (c checker) measure(at string, objective Objective) {
+	if objective.Route != "" && (objective.Measure == Step || objective.Measure == Fresh) {
+		c.report.Add(at+"/route", "means nothing for steps", "remove it")
+	}
 	switch objective.Measure {
 	case Success, Fresh:
 	case Latency, Step:
