Publish the document's JSON Schema and the catalog of events

The console's forms had no schema to follow, and docs/EVENTS.md, named by the catalog's comment, did not exist.

Tests read the sources: each number has a row, each event emitted is in the catalog, and no value logged is named like a key, prompt or answer. HostReady was in the catalog and never emitted; it is now.

Found: KeyRefused, PoisonConvicted, RequestShed, WeightsOrdered, ReclaimNoticed, CapacityWanted, DocumentAccepted and ListIgnored are in the catalog and nothing emits them.

--- a/internal/host/server/document.go
+++ b/internal/host/server/document.go
@@ -33,7 +33,9 @@
 	if errors.As(err, &stale) {
 		return
 	}
-	s.index.Store(index)
+	if s.index.Swap(index) == nil {
+		s.config.Log.Emit(event.HostReady, "host", s.config.Settings.Host)
+	}
 	s.quota.SetLimits(limitsOf(index), s.firstShare)
 	s.burn.SetObjectives(doc.Objectives)
 	s.home.SetWeights(sharesOf(index))
--- a/internal/site/document/document.go
+++ b/internal/site/document/document.go
@@ -7,8 +7,8 @@
 
 // Document is the whole configuration of a site.
 type Document struct {
-	Site       string      `json:"site"`
-	Zones      []Zone      `json:"zones"`
+	Site       string      `json:"site" jsonschema_description:"Name of the site."`
+	Zones      []Zone      `json:"zones" jsonschema:"minItems=1"`
 	Workspaces []Workspace `json:"workspaces"`
 	Pools      []Pool      `json:"pools"`
 	Routes     []Route     `json:"routes,omitempty"`
@@ -21,7 +21,7 @@
 type Zone struct {
 	Name   string `json:"name"`
 	Region string `json:"region,omitempty"`
-	Spot   bool   `json:"spot,omitempty"`
+	Spot   bool   `json:"spot,omitempty" jsonschema_description:"Whether spot servers may be ordered here."`
 }
 
 // Workspace is a tenant. Share is its weight in the fair queue, 1 when absent.
@@ -29,8 +29,8 @@
 // news of the configuration.
 type Workspace struct {
 	Name   string        `json:"name"`
-	Share  int           `json:"share,omitempty"`
-	Grace  form.Duration `json:"grace,omitempty"`
+	Share  int           `json:"share,omitempty" jsonschema:"minimum=0" jsonschema_description:"Weight in the fair queue; 1 when absent."`
+	Grace  form.Duration `json:"grace,omitempty" jsonschema_description:"How long keys go on working in a zone that is cut off from any news."`
 	Keys   []Key         `json:"keys"`
 	Limits []Limit       `json:"limits,omitempty"`
 }
@@ -39,7 +39,7 @@
 // key itself is never stored.
 type Key struct {
 	Name   string `json:"name"`
-	Digest string `json:"digest"`
+	Digest string `json:"digest" jsonschema:"pattern=^[0-9a-fA-F]{64}$" jsonschema_description:"SHA-256 of the key in hexadecimal."`
 }
 
 // Limit bounds one workspace on one route, or on all routes when Route is
@@ -47,9 +47,9 @@
 // and Running in requests at once. Zero means no bound.
 type Limit struct {
 	Route   string  `json:"route,omitempty"`
-	Rate    float64 `json:"rate,omitempty"`
-	Tokens  float64 `json:"tokens,omitempty"`
-	Running int     `json:"running,omitempty"`
+	Rate    float64 `json:"rate,omitempty" jsonschema:"minimum=0" jsonschema_description:"Requests per second; 0 for no bound."`
+	Tokens  float64 `json:"tokens,omitempty" jsonschema:"minimum=0" jsonschema_description:"Generated tokens per second; 0 for no bound."`
+	Running int     `json:"running,omitempty" jsonschema:"minimum=0" jsonschema_description:"Requests at once; 0 for no bound."`
 }
 
 // Kind tells model engines from plain services.
@@ -68,11 +68,11 @@
 // bound the number of ordered servers per zone.
 type Pool struct {
 	Name    string   `json:"name"`
-	Kind    Kind     `json:"kind"`
-	Bound   uint64   `json:"bound,omitempty"`
-	Floor   float64  `json:"floor,omitempty"`
-	Least   int      `json:"least,omitempty"`
-	Most    int      `json:"most,omitempty"`
+	Kind    Kind     `json:"kind" jsonschema:"enum=engine,enum=service"`
+	Bound   uint64   `json:"bound,omitempty" jsonschema:"minimum=0" jsonschema_description:"Largest age of a sample in weight versions."`
+	Floor   float64  `json:"floor,omitempty" jsonschema:"minimum=0,exclusiveMaximum=1" jsonschema_description:"Share of engines that keeps serving during a weight roll-out."`
+	Least   int      `json:"least,omitempty" jsonschema:"minimum=0" jsonschema_description:"Fewest ordered servers per zone."`
+	Most    int      `json:"most,omitempty" jsonschema:"minimum=0" jsonschema_description:"Most ordered servers per zone."`
 	Fencing bool     `json:"fencing,omitempty"`
 	Servers []Server `json:"servers,omitempty"`
 }
@@ -82,8 +82,8 @@
 type Server struct {
 	Name    string `json:"name"`
 	Zone    string `json:"zone"`
-	Address string `json:"address"`
-	Class   string `json:"class,omitempty"`
+	Address string `json:"address" jsonschema_description:"IP:port."`
+	Class   string `json:"class,omitempty" jsonschema:"enum=demand,enum=spot"`
 }
 
 // Route says how the requests to one path prefix of a service are treated, or
@@ -94,17 +94,17 @@
 	Name       string        `json:"name"`
 	Pool       string        `json:"pool"`
 	Path       string        `json:"path,omitempty"`
-	Open       bool          `json:"open,omitempty"`
-	Idempotent bool          `json:"idempotent,omitempty"`
+	Open       bool          `json:"open,omitempty" jsonschema_description:"Whether the route needs no key."`
+	Idempotent bool          `json:"idempotent,omitempty" jsonschema_description:"Whether a request may be sent twice."`
 	Timeout    form.Duration `json:"timeout,omitempty"`
-	Private    string        `json:"private,omitempty"`
+	Private    string        `json:"private,omitempty" jsonschema_description:"The one workspace that may use the route."`
 }
 
 // Price is what a backend server of a class costs per hour, in the site's
 // currency.
 type Price struct {
-	Class string  `json:"class"`
-	Hour  float64 `json:"hour"`
+	Class string  `json:"class" jsonschema:"enum=demand,enum=spot"`
+	Hour  float64 `json:"hour" jsonschema:"minimum=0" jsonschema_description:"Price per hour in the currency of the site."`
 }
 
 // Measure names what an objective counts as good.
@@ -121,11 +121,11 @@
 // Objective is a service level: the share Target, between 0 and 1, of what is
 // counted must be good. Within is the limit of latency and step objectives.
 type Objective struct {
-	Workspace string        `json:"workspace,omitempty"`
-	Route     string        `json:"route,omitempty"`
-	Measure   Measure       `json:"measure"`
-	Target    float64       `json:"target"`
-	Within    form.Duration `json:"within,omitempty"`
+	Workspace string        `json:"workspace,omitempty" jsonschema_description:"Empty for every workspace."`
+	Route     string        `json:"route,omitempty" jsonschema_description:"Empty for all routes together."`
+	Measure   Measure       `json:"measure" jsonschema:"enum=latency,enum=success,enum=step,enum=fresh"`
+	Target    float64       `json:"target" jsonschema:"exclusiveMinimum=0,exclusiveMaximum=1" jsonschema_description:"Share that must be good."`
+	Within    form.Duration `json:"within,omitempty" jsonschema_description:"Limit of latency and step objectives."`
 }
 
 // Decode reads and checks a document; the error is a *form.ProblemsError.
--- /dev/null
+++ b/internal/site/event/emit_test.go
@@ -0,0 +1,218 @@
+package event_test
+
+import (
+	"flag"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+)
+
+var update = flag.Bool("update", false, "write docs/EVENTS.md")
+
+// The roots of the module, its code and the page, from this folder.
+const (
+	root = "../../.."
+	page = root + "/docs/EVENTS.md"
+)
+
+// sources parses every Go file of the program that is no test.
+func sources() map[string]*ast.File {
+	files := make(map[string]*ast.File)
+	for _, folder := range []string{"cmd", "internal"} {
+		err := filepath.WalkDir(filepath.Join(root, folder), func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			files[path], err = parser.ParseFile(token.NewFileSet(), path, nil, 0)
+			return err
+		})
+		Expect(err).NotTo(HaveOccurred())
+	}
+	return files
+}
+
+// constants returns the names of the numbers in this package, in order of
+// their values, which the catalog's order must match.
+func constants(files map[string]*ast.File) []string {
+	var names []string
+	for path, file := range files {
+		if filepath.Base(filepath.Dir(path)) != "event" {
+			continue
+		}
+		for _, decl := range file.Decls {
+			group, ok := decl.(*ast.GenDecl)
+			if !ok || group.Tok != token.CONST {
+				continue
+			}
+			first, ok := group.Specs[0].(*ast.ValueSpec)
+			if kind, named := first.Type.(*ast.Ident); !ok || !named || kind.Name != "Number" {
+				continue
+			}
+			for _, spec := range group.Specs {
+				names = append(names, spec.(*ast.ValueSpec).Names[0].Name)
+			}
+		}
+	}
+	return names
+}
+
+// entries returns the names that stand first in the rows of the catalog.
+func entries(files map[string]*ast.File) []string {
+	var names []string
+	for path, file := range files {
+		if filepath.Base(filepath.Dir(path)) != "event" {
+			continue
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			row, ok := n.(*ast.CompositeLit)
+			if !ok || len(row.Elts) != 5 {
+				return true
+			}
+			if name, ok := row.Elts[0].(*ast.Ident); ok {
+				names = append(names, name.Name)
+			}
+			return true
+		})
+	}
+	return names
+}
+
+// emission is one call of Emit: the name of its number, empty when it is not a
+// constant, and its keys and values.
+type emission struct {
+	Path   string
+	Number string
+	Keys   []string
+	Values []ast.Expr
+}
+
+func emissions(files map[string]*ast.File) []emission {
+	var all []emission
+	for path, file := range files {
+		ast.Inspect(file, func(n ast.Node) bool {
+			call, ok := n.(*ast.CallExpr)
+			if !ok {
+				return true
+			}
+			if fun, ok := call.Fun.(*ast.SelectorExpr); ok && fun.Sel.Name == "Emit" {
+				all = append(all, emissionOf(path, call))
+			}
+			return true
+		})
+	}
+	return all
+}
+
+func emissionOf(path string, call *ast.CallExpr) emission {
+	e := emission{Path: path}
+	if number, ok := call.Args[0].(*ast.SelectorExpr); ok {
+		e.Number = number.Sel.Name
+	}
+	for i, arg := range call.Args[1:] {
+		if i%2 == 1 {
+			e.Values = append(e.Values, arg)
+			continue
+		}
+		key, ok := arg.(*ast.BasicLit)
+		Expect(ok).To(BeTrue(), "%s: the key of a value is not a constant", path)
+		text, err := strconv.Unquote(key.Value)
+		Expect(err).NotTo(HaveOccurred())
+		e.Keys = append(e.Keys, text)
+	}
+	return e
+}
+
+// secret reports whether a value is named like a secret or like content.
+func secret(value ast.Expr) bool {
+	found := false
+	ast.Inspect(value, func(n ast.Node) bool {
+		if call, ok := n.(*ast.CallExpr); ok {
+			if fun, ok := call.Fun.(*ast.SelectorExpr); ok && fun.Sel.Name == "Key" {
+				found = found || !strings.Contains(strings.ToLower(exprName(fun.X)), "id") // step.ID.Key() is an object's key
+				return false
+			}
+		}
+		if name, ok := n.(*ast.Ident); ok {
+			forbidden := []string{"key", "secret", "prompt", "text", "body", "answer", "authorization", "digest"}
+			found = found || slices.Contains(forbidden, strings.ToLower(name.Name))
+		}
+		return true
+	})
+	return found
+}
+
+func exprName(x ast.Expr) string {
+	switch x := x.(type) {
+	case *ast.Ident:
+		return x.Name
+	case *ast.SelectorExpr:
+		return x.Sel.Name
+	default:
+		return ""
+	}
+}
+
+var _ = Describe("the code", func() {
+	It("has a catalog row for each number, and numbers in catalog order", func() {
+		files := sources()
+		Expect(constants(files)).NotTo(BeEmpty())
+		Expect(entries(files)).To(ConsistOf(constants(files)))
+		Expect(event.Catalog()).To(HaveLen(len(constants(files))))
+	})
+
+	It("emits only numbers of the catalog", func() {
+		files := sources()
+		known := constants(files)
+		all := emissions(files)
+		Expect(all).NotTo(BeEmpty())
+		for _, e := range all {
+			if e.Number != "" {
+				Expect(known).To(ContainElement(e.Number), e.Path)
+			}
+		}
+	})
+
+	It("logs no key, prompt or answer text", func() {
+		allowed := []string{
+			"address", "attempt", "by", "call", "counters", "crashed", "duty", "engine", "epoch", "err", "error", "host",
+			"id", "key", "owner", "reason", "request", "server", "source", "status", "step", "target", "version",
+			"window", "workspace", "zone",
+		}
+		for _, e := range emissions(sources()) {
+			for i, key := range e.Keys {
+				Expect(allowed).To(ContainElement(key), e.Path)
+				Expect(secret(e.Values[i])).To(BeFalse(), "%s: value of %q", e.Path, key)
+			}
+		}
+	})
+
+	It("would be caught logging a secret", func() {
+		for _, source := range []string{"call.Key", "request.Prompt", "string(answer.Body)", "s.Text", "key"} {
+			value, err := parser.ParseExpr(source)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(secret(value)).To(BeTrue(), source)
+		}
+	})
+})
+
+var _ = Describe("docs/EVENTS.md", func() {
+	It("is the catalog; write it with go test ./internal/site/event -update", func() {
+		if *update {
+			Expect(os.WriteFile(page, []byte(event.Page()), 0o644)).To(Succeed())
+		}
+		text, err := os.ReadFile(page)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(Equal(event.Page()))
+	})
+})
