Divide limits anew when hosts come and go, and keep shares through a cut

Cause: a limit was divided among the hosts that were live when a document came into force, and never again.

Change: the division follows the number of hosts; silent hosts of other zones count for an hour, since they may be cut off and serving their share.

--- a/internal/host/server/document.go
+++ b/internal/host/server/document.go
@@ -84,13 +84,25 @@
 	return shares
 }
 
-// firstShare is this host's part of a limit until shares are divided by
-// demand: an even part among the live hosts.
+// firstShare is this host's part of a limit: an even part among the hosts that
+// may be serving. Of requests at once every host keeps at least one, so that a small
+// limit may be passed by the number of hosts less one.
 func (s *Server) firstShare(_ quota.Key, limit quota.Limit) quota.Share {
-	hosts := max(1, len(s.peers.live(func(*peer) bool { return true }))+1)
+	hosts := s.peers.count()
 	return quota.Share{Fraction: 1 / float64(hosts), Slots: max(1, limit.Concurrency/hosts)}
 }
 
+// reshare divides the limits anew when the number of hosts has changed.
+func (s *Server) reshare() {
+	index := s.index.Load()
+	if index == nil {
+		return
+	}
+	for key, limit := range limitsOf(index) {
+		s.quota.SetShare(key, s.firstShare(key, limit))
+	}
+}
+
 // watchDocument is the duty that puts each accepted document in force.
 func (s *Server) watchDocument(ctx context.Context) {
 	changes, cancel := s.spread.Subscribe()
--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -34,6 +34,8 @@
 	server *Server
 	lister hostlist.Lister
 
+	counted int // live hosts at the last round; only the duty uses it
+
 	mu        sync.Mutex
 	addresses map[string]bool // link addresses to say hello to
 	known     map[string]*peer
@@ -121,6 +123,31 @@
 	group.Wait()
 	p.expire()
 	p.server.spread.Rank(p.rank())
+	if now := p.count(); now != p.counted {
+		p.counted = now
+		p.server.reshare()
+	}
+}
+
+// shareMemory is how long a host of another zone that is silent still counts
+// for the division of limits: it may be cut off and serving.
+const shareMemory = time.Hour
+
+// count returns the number of hosts among which limits are divided, this one
+// included: the live ones of this zone, and those of other zones that may be
+// serving.
+func (p *peers) count() int {
+	zone := p.server.config.Settings.Zone
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sum := 1
+	for _, peer := range p.known {
+		silent := peer.down && (peer.Zone == zone || time.Since(peer.seen) > shareMemory)
+		if !peer.Leaving && !silent {
+			sum++
+		}
+	}
+	return sum
 }
 
 // rank returns the place of this host among the live hosts of its zone, by
