Order on-demand servers only for spot servers that start late

While steps opened one after the other the need always ran ahead of the spot servers on their way, and that counted as a shortage that lasted.

--- a/internal/rollout/reclaim/capacity.go
+++ b/internal/rollout/reclaim/capacity.go
@@ -12,7 +12,8 @@
 //  3. Spot servers cover that need, spread evenly over the zones that have not
 //     lately reclaimed or refused any.
 //  4. On-demand servers cover what spot lacks only when waiting longer for spot
-//     would miss a deadline, or when spot is not cheaper.
+//     would miss a deadline, or when spot is not cheaper. Spot servers that
+//     start late are missing; those ordered since for a need that grew are not.
 //  5. Growth is at once; a shrink waits until less has been wanted for a while,
 //     and goes no lower than the most that was wanted in that time.
 package reclaim
@@ -84,7 +85,8 @@
 type Planner struct {
 	Policy Policy
 
-	short time.Time // since when spot has fallen short
+	short time.Time // since when spot has fallen short of owed
+	owed  int       // servers needed at that time
 	low   time.Time // since when less would do
 	peak  counts    // most wanted since low
 	last  counts
@@ -160,8 +162,8 @@
 	if open == 0 {
 		return counts{spot: min(need, running), demand: p.fallback(now, need, running, demand)}
 	}
-	if p.short.IsZero() {
-		p.short = now
+	if p.short.IsZero() || running >= p.owed {
+		p.short, p.owed = now, need
 	}
 	if now.Sub(p.short) < cmp.Or(p.Policy.Patience, DefaultPatience) {
 		return counts{spot: p.padded(need, demand)}
