--- a/internal/entry/compare/compare_test.go
+++ b/internal/entry/compare/compare_test.go
@@ -1,6 +1,7 @@
 package compare_test
 
 import (
+	"fmt"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -87,3 +88,33 @@
 		}
 	}
 }
+
+// BenchmarkSeeds shows how much the worst share under a flood varies between
+// seeds and with the length of a run. Run it with -benchtime 1x.
+func BenchmarkSeeds(b *testing.B) {
+	const seeds = 8
+	for _, site := range compare.Sites() {
+		if site.Engines > smallSite {
+			continue
+		}
+		for _, seconds := range []int{150, 300, 900} {
+			site.Seconds = seconds
+			b.Run(fmt.Sprintf("%s/%ds", site.Name, seconds), func(b *testing.B) {
+				least, most, below := 1.0, 0.0, 0
+				for b.Loop() {
+					for run := range 2 * seeds {
+						part := []float64{0.08, 0.2}[run%2]
+						share := compare.Run(site, compare.Flood(part), compare.Ours(), uint64(run/2+1)).Share
+						least, most = min(least, share), max(most, share)
+						if share < fairBound {
+							below++
+						}
+					}
+				}
+				b.ReportMetric(least, "least-share")
+				b.ReportMetric(most, "most-share")
+				b.ReportMetric(float64(below), "below-of-16")
+			})
+		}
+	}
+}
