Keep an audit trail of accepted documents

The accepted document is one object, which each submission overwrites: who had what accepted could not be read afterwards.

"document log" shows them, "document show" the accepted text.

--- a/internal/host/command/command.go
+++ b/internal/host/command/command.go
@@ -21,16 +21,17 @@
 
 // line is the whole command line.
 type line struct {
-	Serve   serveCommand   `cmd:"" help:"Run this host."`
-	Demo    demoCommand    `cmd:"" help:"Run several hosts and stand-ins in this process and check every promise."`
-	Check   checkCommand   `cmd:"" help:"Check a document or a settings file."`
-	Schema  schemaCommand  `cmd:"" help:"Print the JSON Schema of the document."`
-	Submit  submitCommand  `cmd:"" help:"Submit a document and wait until it is in force."`
-	Status  statusCommand  `cmd:"" help:"Show hosts, zones, backend servers and leases."`
-	Report  reportCommand  `cmd:"" help:"Show reports."`
-	Key     keyCommand     `cmd:"" help:"Make keys and certificates."`
-	Events  eventsCommand  `cmd:"" help:"List the numbered events."`
-	Version versionCommand `cmd:"" help:"Show the version."`
+	Serve    serveCommand    `cmd:"" help:"Run this host."`
+	Demo     demoCommand     `cmd:"" help:"Run several hosts and stand-ins in this process and check every promise."`
+	Check    checkCommand    `cmd:"" help:"Check a document or a settings file."`
+	Document documentCommand `cmd:"" help:"Show the accepted document and its history."`
+	Schema   schemaCommand   `cmd:"" help:"Print the JSON Schema of the document."`
+	Submit   submitCommand   `cmd:"" help:"Submit a document and wait until it is in force."`
+	Status   statusCommand   `cmd:"" help:"Show hosts, zones, backend servers and leases."`
+	Report   reportCommand   `cmd:"" help:"Show reports."`
+	Key      keyCommand      `cmd:"" help:"Make keys and certificates."`
+	Events   eventsCommand   `cmd:"" help:"List the numbered events."`
+	Version  versionCommand  `cmd:"" help:"Show the version."`
 }
 
 // output is the flag of commands that show something.
--- a/internal/host/command/report.go
+++ b/internal/host/command/report.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	windows, err := audit(batch)
+	windows, err := recompute(batch)
 	if err != nil {
 		return err
 	}
@@ -51,7 +51,7 @@
 	return nil
 }
 
-func audit(batch object.Batch) ([]usageWindow, error) {
+func recompute(batch object.Batch) ([]usageWindow, error) {
 	var sealed []usage.Sealed
 	for _, found := range batch.Objects {
 		var one usage.Sealed
--- a/internal/host/server/document.go
+++ b/internal/host/server/document.go
@@ -7,9 +7,6 @@
 
 	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
 	"github.com/hyssopwall/hyssopwall/internal/entry/quota"
-	"github.com/hyssopwall/hyssopwall/internal/fleet/spread"
-	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
-	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 	"github.com/hyssopwall/hyssopwall/internal/site/document"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
 )
@@ -104,28 +101,3 @@
 		}
 	}
 }
-
-// Submit checks a document and puts it in force as the version after base. It
-// returns a *form.ProblemsError for a document that is not sound, and the
-// errors of spread.Accept.
-func Submit(ctx context.Context, store object.Store, by string, base uint64, body []byte) (uint64, error) {
-	if _, err := document.Decode("document", body); err != nil {
-		return 0, err
-	}
-	accepted, err := spread.Accept(ctx, store, spread.Submission{By: by, At: time.Now(), Base: base, Body: body})
-	return accepted.Version, err
-}
-
-// Accepted reads the accepted document from the platform; its version is zero
-// when there is none.
-func Accepted(ctx context.Context, store object.Reader) (spread.Accepted, error) {
-	found, err := store.Get(ctx, spread.Key)
-	var missing *object.NotFoundError
-	if errors.As(err, &missing) {
-		return spread.Accepted{}, nil
-	}
-	if err != nil {
-		return spread.Accepted{}, err
-	}
-	return wire.Decode[spread.Accepted](found.Value)
-}
