--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -4,6 +4,7 @@
 package wire
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 
@@ -13,6 +14,15 @@
 // MaxMessage is the largest encoded message in bytes.
 const MaxMessage = 4 << 20
 
+// The encodings of no value.
+const (
+	cborNull      = 0xf6
+	cborUndefined = 0xf7
+)
+
+// errNull says that bytes hold no value.
+var errNull = errors.New("no value")
+
 // Message is a type that can check its own fields.
 type Message interface {
 	Check() error
@@ -61,6 +71,10 @@
 	if len(data) > MaxMessage {
 		return m, &DecodeError{Type: fmt.Sprintf("%T", m), Err: fmt.Errorf("%d bytes, more than %d", len(data), MaxMessage)}
 	}
+	if len(data) == 1 && (data[0] == cborNull || data[0] == cborUndefined) {
+		// It would decode to a nil pointer, or pass for a message of zeros.
+		return m, &DecodeError{Type: fmt.Sprintf("%T", m), Err: errNull}
+	}
 	if err := cbor.Unmarshal(data, &m); err != nil {
 		return m, &DecodeError{Type: fmt.Sprintf("%T", m), Err: err}
 	}
