--- a/internal/entry/claim/keeper.go
+++ b/internal/entry/claim/keeper.go
@@ -220,11 +220,11 @@
 		found.shard.grow(ctx, from, next)
 	case TakeOver:
 		if found.shard.install(ctx, from, next) == nil {
-			k.Log.Emit(event.ShardTaken, "shard", next.Shard, "epoch", next.Epoch)
+			k.Log.Emit(event.ShardTaken, "id", next.Shard, "epoch", next.Epoch)
 		}
 	case Restart:
 		if found.shard.install(ctx, from, next) == nil {
-			k.Log.Emit(event.ShardLost, "shard", next.Shard, "epoch", next.Epoch)
+			k.Log.Emit(event.ShardLost, "id", next.Shard, "epoch", next.Epoch)
 		}
 	case Shrink, Recover:
 		_ = found.shard.install(ctx, from, next)
