Leave engines that are known to be slow idle

In a full fleet the slow engine is the one that is free, and its sample ends after all others. It is now used only when there is nothing else, and gets another chance after ten minutes.

--- a/internal/rollout/step/assign.go
+++ b/internal/rollout/step/assign.go
@@ -69,7 +69,7 @@
 	if l.canceling || l.Whole() {
 		return nil
 	}
-	field := l.usable(engines)
+	field := l.usable(engines, now)
 	var all []Work
 	var ranked ranking
 	for _, at := range l.needs(now) {
@@ -84,15 +84,26 @@
 	return append(all, l.hedges(field, now)...)
 }
 
-// usable returns the engines whose new samples could be delivered.
-func (l *Ledger) usable(engines []Engine) []*candidate {
-	var usable []*candidate
+// usable returns the engines whose new samples could be delivered. A slow
+// engine is left idle: in a full fleet it would be the one that is free, and a
+// sample on it would end after all others. It is used when there is nothing
+// else at all.
+func (l *Ledger) usable(engines []Engine, now time.Time) []*candidate {
+	var usable, slow []*candidate
 	for i := range engines {
 		e := &engines[i]
 		if e.Free <= 0 || e.Leaving || !sample.Fresh([]uint64{e.Version}, l.newest, l.state.Bound) {
 			continue
 		}
-		usable = append(usable, &candidate{Engine: e, pace: l.history.Pace(e.Name)})
+		c := &candidate{Engine: e, pace: l.history.Pace(e.Name, now)}
+		if c.pace < 1 {
+			slow = append(slow, c)
+			continue
+		}
+		usable = append(usable, c)
+	}
+	if len(usable) == 0 && len(l.running) == 0 {
+		return slow
 	}
 	return usable
 }
--- a/internal/rollout/step/complete.go
+++ b/internal/rollout/step/complete.go
@@ -43,7 +43,7 @@
 // learn remembers the pace of an attempt's engine.
 func (l *Ledger) learn(a *attempt, now time.Time) {
 	if age := now.Sub(a.started); age >= paceAge {
-		l.history.AddPace(a.engine, float64(a.tokens-a.resumed)/age.Seconds()/a.speed)
+		l.history.AddPace(a.engine, float64(a.tokens-a.resumed)/age.Seconds()/a.speed, now)
 	}
 }
 
--- a/internal/rollout/step/history.go
+++ b/internal/rollout/step/history.go
@@ -1,6 +1,9 @@
 package step
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // maxClasses bounds the classes that a History tells apart; further ones share
 // the empty class.
@@ -18,9 +21,15 @@
 type History struct {
 	mu    sync.Mutex
 	means map[string]float64
-	all   float64            // mean of all classes
-	paces map[string]float64 // of each engine, as the share of its stated speed
-	pace  float64            // of all engines
+	all   float64 // mean of all classes
+	paces map[string]enginePace
+	pace  float64 // of all engines, as the share of their stated speed
+}
+
+// enginePace is the pace of one engine and when it was last seen.
+type enginePace struct {
+	share float64
+	seen  time.Time
 }
 
 // Add takes the length in tokens of a finished sample.
@@ -70,18 +79,19 @@
 	paceWeight = 0.2  // of the newest pace in an engine's moving mean
 	fleetPace  = 0.01 // of the newest pace in the fleet's moving mean
 	slowPace   = 0.6  // of the fleet's pace: below it an engine counts as slow
+	paceMemory = 10 * time.Minute
 )
 
 // AddPace takes the share of its stated speed at which an engine ran an
 // attempt. Load that comes later lowers the pace of all engines alike, so that
 // only an engine's pace against the fleet's says that it is slow.
-func (h *History) AddPace(name string, pace float64) {
+func (h *History) AddPace(name string, pace float64, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.paces == nil || len(h.paces) >= maxPaces {
-		h.paces = map[string]float64{}
+		h.paces = map[string]enginePace{}
 	}
-	h.paces[name] = moved(h.paces[name], pace, paceWeight)
+	h.paces[name] = enginePace{moved(h.paces[name].share, pace, paceWeight), now}
 	h.pace = moved(h.pace, pace, fleetPace)
 }
 
@@ -94,13 +104,14 @@
 }
 
 // Pace returns the pace of an engine against the fleet's, one unless it is
-// known to be slow.
-func (h *History) Pace(name string) float64 {
+// known to be slow. What was seen long ago is forgotten, so that an engine gets
+// another chance.
+func (h *History) Pace(name string, now time.Time) float64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	pace, ok := h.paces[name]
-	if !ok || h.pace <= 0 || pace >= slowPace*h.pace {
+	if !ok || now.Sub(pace.seen) > paceMemory || pace.share >= slowPace*h.pace {
 		return 1
 	}
-	return max(pace/h.pace, 0.01)
+	return max(pace.share/h.pace, 0.01)
 }
--- a/internal/rollout/step/ledger_test.go
+++ b/internal/rollout/step/ledger_test.go
@@ -148,6 +148,17 @@
 		Expect(l.Complete(loser, finished("l", 100, 1), after(2))).To(Equal(step.Lost))
 	})
 
+	It("leaves a slow engine idle unless there is nothing else", func() {
+		history := &step.History{}
+		for range 9 {
+			history.AddPace("fast", 1, start)
+		}
+		history.AddPace("slow", 0.3, start)
+		Expect(ledger(plan(1, 2), step.Policy{}, history).Assign(start, []step.Engine{on("fast", 1, 1), on("slow", 1, 1)})).To(HaveLen(1))
+		Expect(ledger(plan(1, 1), step.Policy{}, history).Assign(start, []step.Engine{on("slow", 1, 1)})).To(HaveLen(1))
+		Expect(ledger(plan(1, 2), step.Policy{}, history).Assign(after(601), []step.Engine{on("fast", 1, 1), on("slow", 1, 1)})).To(HaveLen(2))
+	})
+
 	It("judges no attempt by its first moments", func() {
 		history := &step.History{}
 		history.Add("", 100)
