--- a/internal/host/command/report.go
+++ b/internal/host/command/report.go
@@ -12,6 +12,7 @@
 )
 
 type reportCommand struct {
+	Burn  burnCommand  `cmd:"" help:"Show how fast workspaces use up the budgets of their objectives."`
 	Usage usageCommand `cmd:"" help:"Show the sealed usage windows, recomputed from their counters."`
 }
 
@@ -35,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	windows, err := audit(batch)
+	windows, err := recompute(batch)
 	if err != nil {
 		return err
 	}
@@ -50,7 +51,7 @@
 	return nil
 }
 
-func audit(batch object.Batch) ([]usageWindow, error) {
+func recompute(batch object.Batch) ([]usageWindow, error) {
 	var sealed []usage.Sealed
 	for _, found := range batch.Objects {
 		var one usage.Sealed
