Hand duties and shards over beside the requests that still run

Cause: a planned stop first gave its leases up; while the platform was down that took the whole time meant for running requests, which were then cut.

Change: the hand-over of leases and of claim shards runs beside the shutdown of the interface, for 10 s at most.

Measured: a new test stops a host in the middle of a stream during an outage: the stream ends whole and the stop succeeds. Before, the stop ended with the error of its context.

--- a/internal/host/claims/claims.go
+++ b/internal/host/claims/claims.go
@@ -96,6 +96,10 @@
 	c.keeper.Run(ctx)
 }
 
+// HandOver gives this host's shards to their copies before a planned stop. It
+// returns when that is done or ctx ends.
+func (c *Claims) HandOver(ctx context.Context) { c.keeper.Release(ctx) }
+
 // Ready reports whether the owner of every shard is known.
 func (c *Claims) Ready() bool {
 	for _, shard := range c.shards {
@@ -131,7 +135,7 @@
 	case claim.Outcome:
 		return nil, &api.Error{Code: api.Unknown, Message: "the same request may have run before", Ran: api.RanUnknown}
 	default:
-		return nil, api.RefuseFor(api.Unreachable, "the hosts that decide about this idempotency key can't be reached", time.Second)
+		return nil, api.RefuseFor(api.Unreachable, "the hosts that decide about this idempotency key can't be reached; this attempt did not run", time.Second)
 	}
 }
 
--- a/internal/host/demo/site_test.go
+++ b/internal/host/demo/site_test.go
@@ -15,6 +15,7 @@
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
 	"github.com/hyssopwall/hyssopwall/internal/standin/caller"
 	"github.com/hyssopwall/hyssopwall/internal/standin/engine"
+	"github.com/hyssopwall/hyssopwall/internal/standin/fault"
 	"github.com/hyssopwall/hyssopwall/internal/standin/load"
 	"github.com/hyssopwall/hyssopwall/internal/standin/service"
 	"github.com/hyssopwall/hyssopwall/internal/standin/trainer"
@@ -28,14 +29,17 @@
 // patience bounds the wait for a site to start.
 const patience = 30 * time.Second
 
-func start(ctx context.Context) *demo.Site {
+func start(ctx context.Context) *demo.Site { return startWith(ctx, engine.Settings{}) }
+
+func startWith(ctx context.Context, engines engine.Settings) *demo.Site {
+	engines.Record = true
 	ctx, stop := context.WithTimeout(ctx, patience)
 	defer stop()
 	site, err := demo.Start(ctx, demo.Options{
 		Document: examples.Forge, HostsPerZone: 1,
 		Servers: map[string]int{"quote-llm": 3, "orderbook-app": 2, "quote-scorer": 1},
 		Scorers: map[string]bool{"quote-scorer": true},
-		Engine:  engine.Settings{Record: true},
+		Engine:  engines,
 		Service: service.Settings{Record: true},
 		Log:     event.Log{Sink: func(event.Entry, []any) {}},
 	})
@@ -107,4 +111,34 @@
 			Expect(string(one.Received())).NotTo(ContainSubstring("demo-hcm-south"))
 		}
 	})
+
+	It("cuts no stream when a host stops as planned, even while the platform is down", func(ctx SpecContext) {
+		slow := engine.Settings{Step: 40 * time.Millisecond} // 4 tokens a step
+		site := startWith(ctx, slow)
+		name := site.Names("")[0]
+		client := openai.NewClient(
+			option.WithBaseURL("http://"+site.Host(name).Address()+"/v1"),
+			option.WithAPIKey("demo-hcm-south-planning"), option.WithMaxRetries(0),
+		)
+		stream := client.Completions.NewStreaming(ctx, openai.CompletionNewParams{
+			Model: "quote-llm", MaxTokens: openai.Int(64), Seed: openai.Int(3),
+			Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("crank")},
+		})
+		Expect(stream.Next()).To(BeTrue())
+		text := stream.Current().Choices[0].Text
+		site.Platform.SetOutage(fault.DropBefore)
+		stopped := make(chan error, 1)
+		go func() {
+			drain, stop := context.WithTimeout(ctx, patience)
+			defer stop()
+			stopped <- site.StopHost(drain, name)
+		}()
+		for stream.Next() {
+			text += stream.Current().Choices[0].Text
+		}
+		Expect(stream.Err()).NotTo(HaveOccurred())
+		whole, _ := engine.Text("crank", 3, 64)
+		Expect(text).To(Equal(whole))
+		Eventually(ctx, stopped).WithTimeout(patience).Should(Receive(BeNil()))
+	})
 })
--- a/internal/host/server/server.go
+++ b/internal/host/server/server.go
@@ -196,13 +196,35 @@
 	s.draining.Store(true)
 	s.config.Log.Emit(event.HostDraining, "host", s.config.Settings.Host)
 	s.peers.leave(ctx)
-	_ = s.leases.Release(ctx) // otherwise the next holder waits the term out
+	handed := s.handOver(ctx)
 	err := s.web.Shutdown(ctx)
 	s.waitIdle(ctx)
+	<-handed
 	s.stop()
 	return err
 }
 
+// handOverTime bounds the hand-over of duties and shards, which needs the
+// platform and must not use up the time of running requests.
+const handOverTime = 10 * time.Second
+
+// handOver gives up this host's duties and claim shards beside the requests
+// that still run; without it, the next holder waits until this one is taken
+// for failed. The channel is closed when it is over.
+func (s *Server) handOver(ctx context.Context) <-chan struct{} {
+	ctx, stop := context.WithTimeout(ctx, handOverTime)
+	var group sync.WaitGroup
+	group.Go(func() { _ = s.leases.Release(ctx) })
+	group.Go(func() { s.claims.HandOver(ctx) })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer stop()
+		group.Wait()
+	}()
+	return done
+}
+
 // waitIdle waits until no request of other hosts runs here.
 func (s *Server) waitIdle(ctx context.Context) {
 	ticker := time.NewTicker(20 * time.Millisecond)
