--- a/internal/billing/usage/sealer.go
+++ b/internal/billing/usage/sealer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/fleet/lease"
@@ -49,6 +50,7 @@
 
 	epoch  uint64 // of the lease for which ledger was read
 	ledger *Ledger
+	told   Window // every window before it is known to be acknowledged
 }
 
 // Run works until the context ends.
@@ -111,6 +113,7 @@
 		}
 	}
 	s.ledger = ledger
+	s.told = 0
 	return nil
 }
 
@@ -227,24 +230,33 @@
 	return all
 }
 
-// cover tells each host what of its holdings is sealed. A lost message is made
-// up for at the next window.
+// cover tells all hosts at once what of their holdings is sealed. A lost
+// message is made up for at the next window.
 func (s *Sealer) cover(ctx context.Context, answers []Holdings) {
+	var group sync.WaitGroup
+	defer group.Wait()
 	for _, answer := range answers {
 		rows := s.ledger.Covered(answer.Rows)
-		for _, row := range rows {
-			if row.Cell.Window < s.ledger.Next-1 {
-				s.Log.Emit(event.UsageLate, "source", row.Cell.Source.String(), "window", row.Cell.Window.String())
-			}
-		}
+		s.noteLate(rows)
 		if len(rows) > 0 {
-			_ = s.Peers.Cover(ctx, answer.From, Cover{Rows: rows})
+			group.Go(func() { _ = s.Peers.Cover(ctx, answer.From, Cover{Rows: rows}) })
+		}
+	}
+}
+
+func (s *Sealer) noteLate(rows []Row) {
+	for _, row := range rows {
+		if row.Cell.Window < s.ledger.Next-1 {
+			s.Log.Emit(event.UsageLate, "source", row.Cell.Source.String(), "window", row.Cell.Window.String())
 		}
 	}
 }
 
 // report sends the sealed windows after the last acknowledged one. Rule 6.
 func (s *Sealer) report(ctx context.Context) error {
+	if s.told == s.ledger.Next {
+		return nil
+	}
 	last, version, err := reported(ctx, s.Store)
 	if err != nil {
 		return err
@@ -256,6 +268,7 @@
 		}
 	}
 	if window >= s.ledger.Next {
+		s.told = s.ledger.Next
 		return nil
 	}
 	for ; window < s.ledger.Next; window++ {
@@ -263,7 +276,11 @@
 			return err
 		}
 	}
-	return acknowledge(ctx, s.Store, mark{Window: window - 1, Writer: s.Self.String()}, version)
+	if err = acknowledge(ctx, s.Store, mark{Window: window - 1, Writer: s.Self.String()}, version); err != nil {
+		return err
+	}
+	s.told = window
+	return nil
 }
 
 func (s *Sealer) send(ctx context.Context, window Window) error {
--- a/internal/host/server/document.go
+++ b/internal/host/server/document.go
@@ -7,9 +7,6 @@
 
 	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
 	"github.com/hyssopwall/hyssopwall/internal/entry/quota"
-	"github.com/hyssopwall/hyssopwall/internal/fleet/spread"
-	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
-	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 	"github.com/hyssopwall/hyssopwall/internal/site/document"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
 )
@@ -33,8 +30,11 @@
 	if errors.As(err, &stale) {
 		return
 	}
-	s.index.Store(index)
+	if s.index.Swap(index) == nil {
+		s.config.Log.Emit(event.HostReady, "host", s.config.Settings.Host)
+	}
 	s.quota.SetLimits(limitsOf(index), s.firstShare)
+	s.burn.SetObjectives(doc.Objectives)
 	s.home.SetWeights(sharesOf(index))
 	s.claims.SetZones(zonesOf(doc))
 	s.rolls.set(s.ctx, doc)
@@ -81,13 +81,25 @@
 	return shares
 }
 
-// firstShare is this host's part of a limit until shares are divided by
-// demand: an even part among the live hosts.
+// firstShare is this host's part of a limit: an even part among the hosts that
+// may be serving. Of requests at once every host keeps at least one, so that a small
+// limit may be passed by the number of hosts less one.
 func (s *Server) firstShare(_ quota.Key, limit quota.Limit) quota.Share {
-	hosts := max(1, len(s.peers.live(func(*peer) bool { return true }))+1)
+	hosts := s.peers.count()
 	return quota.Share{Fraction: 1 / float64(hosts), Slots: max(1, limit.Concurrency/hosts)}
 }
 
+// reshare divides the limits anew when the number of hosts has changed.
+func (s *Server) reshare() {
+	index := s.index.Load()
+	if index == nil {
+		return
+	}
+	for key, limit := range limitsOf(index) {
+		s.quota.SetShare(key, s.firstShare(key, limit))
+	}
+}
+
 // watchDocument is the duty that puts each accepted document in force.
 func (s *Server) watchDocument(ctx context.Context) {
 	changes, cancel := s.spread.Subscribe()
@@ -101,28 +113,3 @@
 		}
 	}
 }
-
-// Submit checks a document and puts it in force as the version after base. It
-// returns a *form.ProblemsError for a document that is not sound, and the
-// errors of spread.Accept.
-func Submit(ctx context.Context, store object.Store, by string, base uint64, body []byte) (uint64, error) {
-	if _, err := document.Decode("document", body); err != nil {
-		return 0, err
-	}
-	accepted, err := spread.Accept(ctx, store, spread.Submission{By: by, At: time.Now(), Base: base, Body: body})
-	return accepted.Version, err
-}
-
-// Accepted reads the accepted document from the platform; its version is zero
-// when there is none.
-func Accepted(ctx context.Context, store object.Reader) (spread.Accepted, error) {
-	found, err := store.Get(ctx, spread.Key)
-	var missing *object.NotFoundError
-	if errors.As(err, &missing) {
-		return spread.Accepted{}, nil
-	}
-	if err != nil {
-		return spread.Accepted{}, err
-	}
-	return wire.Decode[spread.Accepted](found.Value)
-}
