--- a/internal/fleet/link/endpoint.go
+++ b/internal/fleet/link/endpoint.go
@@ -69,10 +69,14 @@
 	done      chan struct{}
 
 	mu       sync.Mutex
-	closed   bool
+	shutting bool
 	handlers map[string]Handler
 	notes    map[string]NoteHandler
 	peers    map[netip.AddrPort]*peer
+
+	wireMu sync.Mutex
+	open   map[*connection]struct{}
+	ended  Wire // of the connections that have ended
 }
 
 // Listen starts an endpoint.
@@ -91,6 +95,7 @@
 		handlers:  make(map[string]Handler),
 		notes:     make(map[string]NoteHandler),
 		peers:     make(map[netip.AddrPort]*peer),
+		open:      make(map[*connection]struct{}),
 	}
 	e.listener, err = e.transport.Listen(config.Identity.Server(protocol), settings())
 	if err != nil {
@@ -195,10 +200,10 @@
 func (e *Endpoint) shut() (map[netip.AddrPort]*peer, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.closed {
+	if e.shutting {
 		return nil, false
 	}
-	e.closed = true
+	e.shutting = true
 	e.cancel()
 	peers := e.peers
 	e.peers = make(map[netip.AddrPort]*peer)
@@ -209,7 +214,7 @@
 func (e *Endpoint) spawn(task func()) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.closed {
+	if e.shutting {
 		return false
 	}
 	e.tasks.Go(task)
--- a/internal/fleet/link/note.go
+++ b/internal/fleet/link/note.go
@@ -43,12 +43,11 @@
 // sendNotes sends the queued notes of a connection. It may wait for the
 // congestion window, which is why it has its own goroutine.
 func (e *Endpoint) sendNotes(c *connection) {
+	defer e.closed(c)
 	for {
 		select {
 		case note := <-c.notes:
-			if c.raw.SendDatagram(note) != nil {
-				return
-			}
+			_ = c.raw.SendDatagram(note) // one that does not fit the path is lost
 		case <-c.raw.Context().Done():
 			return
 		}
--- a/internal/fleet/link/peer.go
+++ b/internal/fleet/link/peer.go
@@ -91,7 +91,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.closed {
+	if e.shutting {
 		return nil, ErrClosed
 	}
 	p := e.peers[parsed]
--- a/internal/fleet/link/serve.go
+++ b/internal/fleet/link/serve.go
@@ -39,7 +39,10 @@
 func (e *Endpoint) serve(c *connection, address netip.AddrPort) {
 	e.spawn(func() { e.takeStreams(c, address) })
 	e.spawn(func() { e.takeNotes(c, address) })
-	e.spawn(func() { e.sendNotes(c) })
+	e.opened(c)
+	if !e.spawn(func() { e.sendNotes(c) }) {
+		e.closed(c)
+	}
 }
 
 func (e *Endpoint) takeStreams(c *connection, address netip.AddrPort) {
--- a/internal/fleet/link/wire.go
+++ b/internal/fleet/link/wire.go
@@ -1,9 +1,9 @@
 package link
 
-// Wire counts the packets and bytes of the connections in use, QUIC's own
-// overhead and resent packets included, without the headers of UDP and IP.
+// Wire counts the packets and bytes of all connections since the start, QUIC's
+// own overhead and resent packets included, without the headers of UDP and IP.
 type Wire struct {
-	Connections     int
+	Connections     int // that are open now
 	SentPackets     uint64
 	SentBytes       uint64
 	ReceivedPackets uint64
@@ -11,35 +11,37 @@
 	LostPackets     uint64
 }
 
-// Wire returns the sum over the connections that are in use now.
+func (w *Wire) add(c *connection) {
+	stats := c.raw.ConnectionStats()
+	w.SentPackets += stats.PacketsSent
+	w.SentBytes += stats.BytesSent
+	w.ReceivedPackets += stats.PacketsReceived
+	w.ReceivedBytes += stats.BytesReceived
+	w.LostPackets += stats.PacketsLost
+}
+
+// Wire returns the counts of the connections that are open and of those that
+// have ended.
 func (e *Endpoint) Wire() Wire {
-	var sum Wire
-	for _, c := range e.current() {
-		stats := c.raw.ConnectionStats()
+	e.wireMu.Lock()
+	defer e.wireMu.Unlock()
+	sum := e.ended
+	for c := range e.open {
+		sum.add(c)
 		sum.Connections++
-		sum.SentPackets += stats.PacketsSent
-		sum.SentBytes += stats.BytesSent
-		sum.ReceivedPackets += stats.PacketsReceived
-		sum.ReceivedBytes += stats.BytesReceived
-		sum.LostPackets += stats.PacketsLost
 	}
 	return sum
 }
 
-func (e *Endpoint) current() []*connection {
-	e.mu.Lock()
-	peers := make([]*peer, 0, len(e.peers))
-	for _, p := range e.peers {
-		peers = append(peers, p)
-	}
-	e.mu.Unlock()
-	var connections []*connection
-	for _, p := range peers {
-		p.mu.Lock()
-		if p.current.usable(e.config.Now()) {
-			connections = append(connections, p.current)
-		}
-		p.mu.Unlock()
-	}
-	return connections
+func (e *Endpoint) opened(c *connection) {
+	e.wireMu.Lock()
+	defer e.wireMu.Unlock()
+	e.open[c] = struct{}{}
+}
+
+func (e *Endpoint) closed(c *connection) {
+	e.wireMu.Lock()
+	defer e.wireMu.Unlock()
+	delete(e.open, c)
+	e.ended.add(c)
 }
--- a/internal/fleet/scale/platform.go
+++ b/internal/fleet/scale/platform.go
@@ -80,6 +80,7 @@
 		next.Body[at+i] = byte(f.Rand.Uint32())
 	}
 	record := spread.NewRecord(next, f.platform.accepted)
+	record.Before = f.platform.accepted.ID // as Accept does for a large document
 	data, err := wire.Encode(record)
 	if err != nil {
 		panic(err)
