--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -36,13 +36,21 @@
 
 // Dispatcher runs admitted requests. Errors are *Error.
 type Dispatcher interface {
-	// Generate runs a generation and hands its events to sink in order; an
-	// error of sink ends it. It returns nil only after the whole answer.
-	Generate(ctx context.Context, call Call, request engine.Request, sink func(engine.Event) error) error
+	// Generate runs a generation and hands its events to the sink in order.
+	// It returns nil only after the whole answer.
+	Generate(ctx context.Context, call Call, request engine.Request, sink Sink) error
 	// Invoke calls a plain service.
 	Invoke(ctx context.Context, call Call, request service.Request) (service.Answer, error)
 }
 
+// Sink takes the events of a generation. An error of Event ends it. Restart
+// takes back everything so far, because it could not be trusted; it is nil, or
+// returns false, when what was passed on can't be taken back.
+type Sink struct {
+	Event   func(engine.Event) error
+	Restart func() bool
+}
+
 // Server serves callers. Index returns the document in force, nil before the
 // first. CutOff returns since when the host has had no news, zero for never.
 type Server struct {
@@ -54,7 +62,8 @@
 	Steps      Steps
 	Ready      func() error
 	Vars       *expvar.Map
-	Status     func() any // what operators see of the host
+	Status     func() any             // what operators see of the host
+	Burn       func() ([]byte, error) // its burn snapshot, encoded
 }
 
 // Handler returns the HTTP handler of the whole interface.
@@ -76,6 +85,7 @@
 	e.GET("/readyz", s.ready)
 	e.GET("/debug/vars", s.vars)
 	e.GET("/debug/status", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Status()) })
+	e.GET("/debug/burn", s.burn)
 	return e
 }
 
@@ -93,3 +103,11 @@
 func (s *Server) vars(c echo.Context) error {
 	return c.JSONBlob(http.StatusOK, []byte(s.Vars.String()))
 }
+
+func (s *Server) burn(c echo.Context) error {
+	body, err := s.Burn()
+	if err != nil {
+		return err
+	}
+	return c.Blob(http.StatusOK, "application/cbor", body)
+}
--- a/internal/rollout/reclaim/capacity.go
+++ b/internal/rollout/reclaim/capacity.go
@@ -12,9 +12,10 @@
 //  3. Spot servers cover that need, spread evenly over the zones that have not
 //     lately reclaimed or refused any.
 //  4. On-demand servers cover what spot lacks only when waiting longer for spot
-//     would miss a deadline, or when spot is not cheaper.
-//  5. Growth is at once; a shrink waits until the lower figure has held for a
-//     while, and on-demand servers go first.
+//     would miss a deadline, or when spot is not cheaper. Spot servers that
+//     start late are missing; those ordered since for a need that grew are not.
+//  5. Growth is at once; a shrink waits until less has been wanted for a while,
+//     and goes no lower than the most that was wanted in that time.
 package reclaim
 
 import (
@@ -42,7 +43,7 @@
 	Cooldown time.Duration // of a zone's spot servers after a reclaim
 	Patience time.Duration // for spot servers that were ordered
 	Hold     time.Duration // before a shrink
-	Headroom float64       // share added to the need, for what reclaims will take
+	Headroom float64       // share of spot servers added to the need, for what reclaims will take
 	Most     int           // servers in all; zero for no limit
 }
 
@@ -84,8 +85,10 @@
 type Planner struct {
 	Policy Policy
 
-	short time.Time // since when spot has fallen short
+	short time.Time // since when spot has fallen short of owed
+	owed  int       // servers needed at that time
 	low   time.Time // since when less would do
+	peak  counts    // most wanted since low
 	last  counts
 }
 
@@ -112,11 +115,20 @@
 	for _, step := range demand.Steps {
 		rate += min(step.Tokens/p.left(now, step).Seconds(), most(demand, step))
 	}
-	need := int(math.Ceil(rate / demand.Rate * (1 + p.Policy.Headroom)))
+	return p.limit(math.Ceil(rate/demand.Rate), demand)
+}
+
+// padded adds the headroom that spot servers get. On-demand servers are not
+// reclaimed and need none.
+func (p *Planner) padded(need int, demand Demand) int {
+	return p.limit(math.Ceil(float64(need)*(1+p.Policy.Headroom)), demand)
+}
+
+func (p *Planner) limit(count float64, demand Demand) int {
 	if p.Policy.Most > 0 {
-		need = min(need, p.Policy.Most-demand.Fixed)
+		count = min(count, float64(p.Policy.Most-demand.Fixed))
 	}
-	return max(0, need)
+	return max(0, int(count))
 }
 
 // most returns the rate at which a step can use servers at all. A few
@@ -145,18 +157,18 @@
 	}
 	if running >= need {
 		p.short = time.Time{}
-		return counts{spot: need}
+		return counts{spot: p.padded(need, demand)}
 	}
 	if open == 0 {
 		return counts{spot: min(need, running), demand: p.fallback(now, need, running, demand)}
 	}
-	if p.short.IsZero() {
-		p.short = now
+	if p.short.IsZero() || running >= p.owed {
+		p.short, p.owed = now, need
 	}
 	if now.Sub(p.short) < cmp.Or(p.Policy.Patience, DefaultPatience) {
-		return counts{spot: need}
+		return counts{spot: p.padded(need, demand)}
 	}
-	return counts{spot: need, demand: p.fallback(now, need, running, demand)}
+	return counts{spot: p.padded(need, demand), demand: p.fallback(now, need, running, demand)}
 }
 
 // fallback returns the on-demand servers without which the steady work or a
@@ -184,7 +196,8 @@
 	return zone.Reclaimed.IsZero() || now.Sub(zone.Reclaimed) >= cmp.Or(p.Policy.Cooldown, DefaultCooldown)
 }
 
-// hold delays a shrink (rule 5).
+// hold delays a shrink, and then goes down to the most that was wanted
+// meanwhile (rule 5). A short dip between two steps gives nothing back.
 func (p *Planner) hold(now time.Time, wanted counts) counts {
 	if wanted.spot+wanted.demand >= p.last.spot+p.last.demand {
 		p.low = time.Time{}
@@ -192,14 +205,15 @@
 		return wanted
 	}
 	if p.low.IsZero() {
-		p.low = now
+		p.low, p.peak = now, counts{}
 	}
+	p.peak = counts{max(p.peak.spot, wanted.spot), max(p.peak.demand, wanted.demand)}
 	if now.Sub(p.low) < cmp.Or(p.Policy.Hold, DefaultHold) {
 		return counts{max(wanted.spot, p.last.spot), max(wanted.demand, p.last.demand)}
 	}
 	p.low = time.Time{}
-	p.last = wanted
-	return wanted
+	p.last = p.peak
+	return p.last
 }
 
 // spread divides the counts over the zones: spot over the open ones, on-demand
