--- a/internal/host/server/server.go
+++ b/internal/host/server/server.go
@@ -14,9 +14,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hyssopwall/hyssopwall/internal/billing/burn"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hyssopwall/hyssopwall/internal/billing/burn"
+
 	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
 	"github.com/hyssopwall/hyssopwall/internal/entry/poison"
 	"github.com/hyssopwall/hyssopwall/internal/entry/quota"
