Pass on when the platform was heard, not that a host is fresh

Hosts told each other whether they had news of the platform, and took a fresh peer as news. Two hosts without the platform so kept each other fresh for ever: in a zone cut off, a workspace's grace never ran out. Seen in a trial: two hosts, grace 2 s, the platform stopped; 22 s later a key was still served and status showed no cut.

Hosts now pass on the time of the last news.

Follows from it: grace now also runs in an outage of the whole platform, which hosts can't tell from a cut.

--- a/internal/host/server/hello.go
+++ b/internal/host/server/hello.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"time"
+
 	"github.com/hyssopwall/hyssopwall/internal/entry/poison"
 	"github.com/hyssopwall/hyssopwall/internal/entry/route"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
@@ -23,7 +25,7 @@
 	Zone      string          `cbor:"2,keyasint"`
 	Address   string          `cbor:"3,keyasint"`
 	Version   uint64          `cbor:"4,keyasint"`
-	Fresh     bool            `cbor:"5,keyasint,omitempty"` // has news of the platform
+	News      time.Time       `cbor:"5,keyasint,omitzero"` // of the last news of the platform, at whichever host
 	Leaving   bool            `cbor:"6,keyasint,omitempty"`
 	Summaries []route.Summary `cbor:"7,keyasint,omitempty"`
 	Known     []string        `cbor:"8,keyasint,omitempty"`
--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -183,7 +183,7 @@
 	s := p.server
 	h := hello{
 		Host: s.config.Settings.Host, Zone: s.config.Settings.Zone, Address: s.endpoint.Address(),
-		Version: s.spread.Version(), Fresh: p.fresh(), Leaving: s.draining.Load(), Summaries: s.home.Summaries(),
+		Version: s.spread.Version(), News: p.lastNews(), Leaving: s.draining.Load(), Summaries: s.home.Summaries(),
 		Process: s.incarnation,
 	}
 	p.mu.Lock()
@@ -218,9 +218,7 @@
 	if joined {
 		p.server.config.Log.Emit(event.PeerJoined, "host", h.Host, "zone", h.Zone)
 	}
-	if h.Fresh {
-		p.heard()
-	}
+	p.learnNews(h.News)
 	if h.Leaving {
 		p.pickerOf(h.Zone).Forget(h.Host)
 		return
@@ -263,10 +261,25 @@
 // freshFor is how long a sign of the platform counts as news.
 const freshFor = 15 * time.Second
 
-func (p *peers) fresh() bool {
+func (p *peers) lastNews() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Since(p.news) < freshFor
+	return p.news
+}
+
+// learnNews takes the time of the news that a peer has. It passes on when the
+// platform was heard and not that a peer is fresh, since hosts of a cut-off
+// zone would keep each other fresh for ever.
+func (p *peers) learnNews(at time.Time) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if at.After(now) { // its clock is ahead
+		at = now
+	}
+	if at.After(p.news) {
+		p.news = at
+	}
 }
 
 // cutOff returns since when this host has had no news, zero while it has.
