Let grace run in a zone that is cut off, and not while the platform is down

With the time of the news passed on, grace ran in every outage of the platform too, and an hour's outage would have refused callers.

Change: hosts pass on the age of their news, which needs no common clock; a host that reaches every other zone is not cut off. The stand-in's catalog test exported a generation that could end first (seen once, under the race detector); it now waits for ever.

--- a/internal/host/server/hello.go
+++ b/internal/host/server/hello.go
@@ -25,7 +25,7 @@
 	Zone      string          `cbor:"2,keyasint"`
 	Address   string          `cbor:"3,keyasint"`
 	Version   uint64          `cbor:"4,keyasint"`
-	News      time.Time       `cbor:"5,keyasint,omitzero"` // of the last news of the platform, at whichever host
+	Age       time.Duration   `cbor:"5,keyasint,omitempty"` // since the last news of the platform, at whichever host
 	Leaving   bool            `cbor:"6,keyasint,omitempty"`
 	Summaries []route.Summary `cbor:"7,keyasint,omitempty"`
 	Known     []string        `cbor:"8,keyasint,omitempty"`
--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -184,7 +184,7 @@
 	s := p.server
 	h := hello{
 		Host: s.config.Settings.Host, Zone: s.config.Settings.Zone, Address: s.endpoint.Address(),
-		Version: s.spread.Version(), News: p.lastNews(), Leaving: s.draining.Load(), Summaries: s.home.Summaries(),
+		Version: s.spread.Version(), Age: p.age(), Leaving: s.draining.Load(), Summaries: s.home.Summaries(),
 		Process: s.incarnation,
 	}
 	p.mu.Lock()
@@ -219,7 +219,7 @@
 	if joined {
 		p.server.config.Log.Emit(event.PeerJoined, "host", h.Host, "zone", h.Zone)
 	}
-	p.learnNews(h.News)
+	p.learnNews(h.Age)
 	if h.Leaving {
 		p.pickerOf(h.Zone).Forget(h.Host)
 		return
@@ -262,35 +262,51 @@
 // freshFor is how long a sign of the platform counts as news.
 const freshFor = 15 * time.Second
 
-func (p *peers) lastNews() time.Time {
+// age returns the time since the last sign of the platform.
+func (p *peers) age() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.news
+	return time.Since(p.news)
 }
 
-// learnNews takes the time of the news that a peer has. It passes on when the
-// platform was heard and not that a peer is fresh, since hosts of a cut-off
-// zone would keep each other fresh for ever.
-func (p *peers) learnNews(at time.Time) {
-	now := time.Now()
+// learnNews takes the age of the news that a peer has, which needs no common
+// clock. A peer passes on how long ago the platform was heard and not that it
+// is fresh, since hosts of a cut-off zone would keep each other fresh for ever.
+func (p *peers) learnNews(age time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if at.After(now) { // its clock is ahead
-		at = now
-	}
-	if at.After(p.news) {
+	if at := time.Now().Add(-max(0, age)); at.After(p.news) {
 		p.news = at
 	}
 }
 
-// cutOff returns since when this host has had no news, zero while it has.
+// cutOff returns since when this host has been cut off from news, zero while
+// it is not. A host that reaches every other zone, none of which has news
+// either, is not cut off: the platform is down, and no document can have been
+// accepted that would withdraw a key.
 func (p *peers) cutOff() time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if time.Since(p.news) < freshFor {
+	age := p.age()
+	if age < freshFor || p.reachesAll() {
 		return time.Time{}
 	}
-	return p.news
+	return time.Now().Add(-age)
+}
+
+// reachesAll reports whether a live host of every other zone is known.
+func (p *peers) reachesAll() bool {
+	index := p.server.index.Load()
+	if index == nil {
+		return false
+	}
+	for _, zone := range index.Document.Zones {
+		if zone.Name == p.server.config.Settings.Zone {
+			continue
+		}
+		if _, ok := p.Gateway(zone.Name); !ok {
+			return false
+		}
+	}
+	return true
 }
 
 func (p *peers) live(accept func(*peer) bool) []*peer {
--- a/internal/standin/engine/catalog_test.go
+++ b/internal/standin/engine/catalog_test.go
@@ -55,7 +55,11 @@
 	It("holds exactly the faults that can happen", func(ctx SpecContext) {
 		for step, kinds := range standin.Catalog() {
 			for _, kind := range fault.Kinds() {
-				server, client := start(standin.Settings{})
+				settings := standin.Settings{}
+				if step == standin.Cancel || step == standin.Export {
+					settings.Ticks = make(chan struct{}) // no step ever, so that the generation stays
+				}
+				server, client := start(settings)
 				Expect(client.Apply(ctx, engine.Command{ID: "first", Epoch: 2, Role: "prefill"})).To(Succeed())
 				server.Faults().Add(fault.Rule{Step: step, Kind: kind, Count: 1})
 				// A generation that waits is there to be canceled or exported.
