--- a/internal/billing/usage/meter.go
+++ b/internal/billing/usage/meter.go
@@ -156,6 +156,20 @@
 	for _, w := range waiting {
 		w.answer <- have
 	}
+	m.note(have < Copies)
+}
+
+// note logs when counts begin to lack copies, and when that ends.
+func (m *Meter) note(thin bool) {
+	if thin == m.thin {
+		return
+	}
+	m.thin = thin
+	if thin {
+		m.Log.Emit(event.UsageThin)
+	} else {
+		m.Log.Emit(event.UsageCopied)
+	}
 }
 
 func (m *Meter) gather() []waiter {
