Split what a host knows of its peers by subject; one empty answer for all

Change: exchange, news and places stand in files of their own; hosts use the empty answer of package reach. No behavior changes.

Measured: go test -race -short ./internal/host/... passes on two processors.

--- a/internal/host/server/engines.go
+++ b/internal/host/server/engines.go
@@ -9,6 +9,7 @@
 	"github.com/hyssopwall/hyssopwall/internal/fleet/identity"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/link"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
+	"github.com/hyssopwall/hyssopwall/internal/host/reach"
 	"github.com/hyssopwall/hyssopwall/internal/rollout/weights"
 )
 
@@ -71,12 +72,12 @@
 	link.Serve(s.endpoint, enginesKind, func(_ context.Context, _ identity.Host, a enginesAsk) (enginesTold, error) {
 		return enginesTold{Engines: s.ownEngines(a.Model)}, nil
 	})
-	link.Serve(s.endpoint, commandKind, func(ctx context.Context, _ identity.Host, c commandCall) (none, error) {
+	link.Serve(s.endpoint, commandKind, func(ctx context.Context, _ identity.Host, c commandCall) (reach.None, error) {
 		err := s.home.Apply(ctx, c.Server, c.Command)
 		if refused, ok := refusal(err); ok {
-			return none{}, &link.RemoteError{Code: codeRefused, Message: refused.Code}
+			return reach.None{}, &link.RemoteError{Code: codeRefused, Message: refused.Code}
 		}
-		return none{}, err
+		return reach.None{}, err
 	})
 }
 
@@ -158,6 +159,6 @@
 	case address == "":
 		return e.server.home.Apply(ctx, name, command)
 	}
-	_, err := link.Call[commandCall, none](ctx, e.server.endpoint, address, commandKind, commandCall{Server: name, Command: command})
+	_, err := link.Call[commandCall, reach.None](ctx, e.server.endpoint, address, commandKind, commandCall{Server: name, Command: command})
 	return remoteRefusal(err)
 }
--- a/internal/host/server/hello.go
+++ b/internal/host/server/hello.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/hyssopwall/hyssopwall/internal/entry/poison"
 	"github.com/hyssopwall/hyssopwall/internal/entry/route"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
 )
@@ -47,11 +46,3 @@
 	}
 	return nil
 }
-
-// none is an answer without content.
-type none struct{}
-
-// Check accepts every answer.
-func (none) Check() error { return nil }
-
-var _ wire.Message = poison.Marks{}
--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -1,19 +1,15 @@
 package server
 
 import (
-	"cmp"
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/hyssopwall/hyssopwall/internal/entry/poison"
 	"github.com/hyssopwall/hyssopwall/internal/entry/route"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/identity"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/link"
+	"github.com/hyssopwall/hyssopwall/internal/host/reach"
 	"github.com/hyssopwall/hyssopwall/internal/platform/hostlist"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
 )
@@ -26,9 +22,6 @@
 	listEvery    = 5 * time.Second // between two looks at the platform's host list
 )
 
-// hopCost is the cost of sending a request to another zone.
-const hopCost = 5 * time.Millisecond
-
 // peers knows the other hosts: it exchanges a hello with each every second.
 type peers struct {
 	server *Server
@@ -71,9 +64,9 @@
 		p.learn(from, h)
 		return p.own(), nil
 	})
-	link.Serve(p.server.endpoint, marksKind, func(_ context.Context, _ identity.Host, marks poison.Marks) (none, error) {
+	link.Serve(p.server.endpoint, marksKind, func(_ context.Context, _ identity.Host, marks poison.Marks) (reach.None, error) {
 		p.server.poison.Merge(time.Now(), marks.List)
-		return none{}, nil
+		return reach.None{}, nil
 	})
 }
 
@@ -130,33 +123,6 @@
 	}
 }
 
-// shareMemory is how long a host of another zone that is silent still counts
-// for the division of limits: it may be cut off and serving.
-const shareMemory = time.Hour
-
-// count returns the number of hosts among which limits are divided, this one
-// included: the live ones of this zone, and those of other zones that may be
-// serving.
-func (p *peers) count() int {
-	zone := p.server.config.Settings.Zone
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	sum := 1
-	for _, peer := range p.known {
-		silent := peer.down && (peer.Zone == zone || time.Since(peer.seen) > shareMemory)
-		if !peer.Leaving && !silent {
-			sum++
-		}
-	}
-	return sum
-}
-
-// rank returns the place of this host among the live hosts of its zone, by
-// name; a host that stops has none.
-func (p *peers) rank() int {
-	return slices.Index(slices.Sorted(slices.Values(p.zoneHosts())), p.server.config.Settings.Host)
-}
-
 func (p *peers) targets() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -252,185 +218,13 @@
 // leave tells every peer that this host takes no more work.
 func (p *peers) leave(ctx context.Context) { p.round(ctx) }
 
-// heard notes a sign of the platform.
-func (p *peers) heard() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.news = time.Now()
-}
-
-// freshFor is how long a sign of the platform counts as news.
-const freshFor = 15 * time.Second
-
-// age returns the time since the last sign of the platform.
-func (p *peers) age() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return time.Since(p.news)
-}
-
-// learnNews takes the age of the news that a peer has, which needs no common
-// clock. A peer passes on how long ago the platform was heard and not that it
-// is fresh, since hosts of a cut-off zone would keep each other fresh for ever.
-func (p *peers) learnNews(age time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if at := time.Now().Add(-max(0, age)); at.After(p.news) {
-		p.news = at
-	}
-}
-
-// cutOff returns since when this host has been cut off from news, zero while
-// it is not. A host that reaches every other zone, none of which has news
-// either, is not cut off: the platform is down, and no document can have been
-// accepted that would withdraw a key.
-func (p *peers) cutOff() time.Time {
-	age := p.age()
-	if age < freshFor || p.reachesAll() {
-		return time.Time{}
-	}
-	return time.Now().Add(-age)
-}
-
-// reachesAll reports whether a live host of every other zone is known.
-func (p *peers) reachesAll() bool {
-	index := p.server.index.Load()
-	if index == nil {
-		return false
-	}
-	for _, zone := range index.Document.Zones {
-		if zone.Name == p.server.config.Settings.Zone {
-			continue
-		}
-		if _, ok := p.Gateway(zone.Name); !ok {
-			return false
-		}
-	}
-	return true
-}
-
-func (p *peers) live(accept func(*peer) bool) []*peer {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var all []*peer
-	for _, peer := range p.known {
-		if !peer.down && !peer.Leaving && accept(peer) {
-			copied := *peer
-			all = append(all, &copied)
-		}
-	}
-	slices.SortFunc(all, func(a, b *peer) int { return cmp.Compare(a.Host, b.Host) })
-	return all
-}
-
-// zoneHosts returns the live hosts of this zone, this one included unless it
-// stops.
-func (p *peers) zoneHosts() []string {
-	set := p.server.config.Settings
-	var names []string
-	if !p.server.draining.Load() {
-		names = append(names, set.Host)
-	}
-	for _, peer := range p.live(func(peer *peer) bool { return peer.Zone == set.Zone }) {
-		names = append(names, peer.Host)
-	}
-	return names
-}
-
-// Address returns the link address of a live host.
-func (p *peers) Address(host string) (string, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	peer := p.known[host]
-	if peer == nil || peer.down {
-		return "", false
-	}
-	return peer.Address, true
-}
-
-// Hops returns the totals of the other zones that serve a pool, those with the
-// most free slots first.
-func (p *peers) Hops(pool string) []route.Hop {
-	now := time.Now()
-	var hops []route.Hop
-	for zone, picker := range p.zonePickers() {
-		if total := picker.Total(now, zone, pool); total.Slots > 0 {
-			hops = append(hops, route.Hop{Total: total, Cost: hopCost})
-		}
-	}
-	slices.SortFunc(hops, func(a, b route.Hop) int {
-		return cmp.Or(cmp.Compare(b.Total.Slots-b.Total.Running, a.Total.Slots-a.Total.Running), cmp.Compare(a.Total.Zone, b.Total.Zone))
-	})
-	return hops
-}
-
-func (p *peers) zonePickers() map[string]*route.Picker {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return maps.Clone(p.pickers)
-}
-
-// pickerOf returns what is known of the homes of a zone.
-func (p *peers) pickerOf(zone string) *route.Picker {
-	if zone == p.server.config.Settings.Zone {
-		return &p.server.picker
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	picker := p.pickers[zone]
-	if picker == nil {
-		picker = &route.Picker{}
-		p.pickers[zone] = picker
-	}
-	return picker
-}
-
-// Gateway returns the link address of a live host of another zone.
-func (p *peers) Gateway(zone string) (string, bool) {
-	hosts := p.live(func(peer *peer) bool { return peer.Zone == zone })
-	if len(hosts) == 0 {
-		return "", false
-	}
-	at := xxhash.Sum64String(p.server.config.Settings.Host) % uint64(len(hosts))
-	return hosts[at].Address, true
-}
-
-// Mates returns the live hosts that should keep copies for a key: hosts of
-// other zones first, in an order that all hosts agree on.
-func (p *peers) Mates(key string) []string {
-	zone := p.server.config.Settings.Zone
-	hosts := p.live(func(*peer) bool { return true })
-	slices.SortFunc(hosts, func(a, b *peer) int {
-		return cmp.Or(
-			compareBool(a.Zone == zone, b.Zone == zone),
-			cmp.Compare(xxhash.Sum64String(key+a.Host), xxhash.Sum64String(key+b.Host)),
-		)
-	})
-	names := make([]string, len(hosts))
-	for i, host := range hosts {
-		names[i] = host.Host
-	}
-	return names
-}
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // spreadMarks tells every live host of new suspicions and convictions.
 func (p *peers) spreadMarks(marks []poison.Mark) {
 	for _, peer := range p.live(func(*peer) bool { return true }) {
 		go func() {
 			ctx, stop := context.WithTimeout(context.Background(), helloTimeout)
 			defer stop()
-			_, _ = link.Call[poison.Marks, none](ctx, p.server.endpoint, peer.Address, marksKind, poison.Marks{List: marks})
+			_, _ = link.Call[poison.Marks, reach.None](ctx, p.server.endpoint, peer.Address, marksKind, poison.Marks{List: marks})
 		}()
 	}
 }
--- a/internal/host/steps/call.go
+++ b/internal/host/steps/call.go
@@ -8,6 +8,7 @@
 	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
 	"github.com/hyssopwall/hyssopwall/internal/host/api"
+	"github.com/hyssopwall/hyssopwall/internal/host/reach"
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 	"github.com/hyssopwall/hyssopwall/internal/rollout/sample"
 	"github.com/hyssopwall/hyssopwall/internal/rollout/step"
@@ -35,24 +36,18 @@
 	Caller caller    `cbor:"4,keyasint"`
 }
 
-// done is an answer without content.
-type done struct{}
-
-// Check accepts every answer.
-func (done) Check() error { return nil }
-
 // Check checks the plan.
 func (c *openCall) Check() error { return c.Plan.Check() }
 
 func (c *openCall) kind() string { return "step.open" }
 
-func (c *openCall) serve(ctx context.Context, s *Steps) (done, error) {
+func (c *openCall) serve(ctx context.Context, s *Steps) (reach.None, error) {
 	who, err := s.config.Gate.Find(c.Caller.Workspace, c.Caller.Key)
 	if err != nil {
-		return done{}, api.Refuse(api.KeyWithdrawn, "the key was withdrawn")
+		return reach.None{}, api.Refuse(api.KeyWithdrawn, "the key was withdrawn")
 	}
 	_, err = s.adopt(ctx, who, c.ID, &c.Plan, c.Score)
-	return done{}, err
+	return reach.None{}, err
 }
 
 // pullCall pulls samples at the owner.
