Run the bystanders of a crash again without the retry budget

Change: a request whose engine crashed runs again within its three tries, outside of the budget; the conviction at the second crash bounds what this can cost.

--- a/internal/host/demo/site_test.go
+++ b/internal/host/demo/site_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -12,6 +15,7 @@
 
 	"github.com/hyssopwall/hyssopwall/examples"
 	"github.com/hyssopwall/hyssopwall/internal/host/demo"
+	"github.com/hyssopwall/hyssopwall/internal/platform/rest"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
 	"github.com/hyssopwall/hyssopwall/internal/standin/caller"
 	"github.com/hyssopwall/hyssopwall/internal/standin/engine"
@@ -141,4 +145,35 @@
 		Expect(text).To(Equal(whole))
 		Eventually(ctx, stopped).WithTimeout(patience).Should(Receive(BeNil()))
 	})
+
+	It("convicts a request that crashes engines after two crashes, and reruns its bystanders", func(ctx SpecContext) {
+		site := startWith(ctx, engine.Settings{Poison: "boom", Restart: 200 * time.Millisecond, Step: 20 * time.Millisecond})
+		client := &caller.Client{Hosts: site.URLs(), Key: "demo-hcm-south-planning"}
+		ask := func(prompt string) error {
+			_, err := client.Do(ctx, rest.Call{Method: http.MethodPost, Path: "/v1/completions", Body: []byte(
+				`{"model":"quote-llm","prompt":"` + prompt + `","max_tokens":16}`)})
+			return err
+		}
+		bystanders := make(chan error, 12)
+		for i := range cap(bystanders) {
+			go func() { bystanders <- ask(fmt.Sprintf("bystander %d", i)) }()
+		}
+		var refused *caller.Error
+		Expect(errors.As(ask("boom"), &refused)).To(BeTrue())
+		Expect(refused.Code).To(Equal("poison"))
+		for range cap(bystanders) {
+			var err error
+			Eventually(ctx, bystanders).WithTimeout(patience).Should(Receive(&err))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		for range 3 { // whichever host the caller repeats to
+			Expect(errors.As(ask("boom"), &refused)).To(BeTrue())
+			Expect(refused.Code).To(Equal("poison"))
+		}
+		crashes := 0
+		for _, one := range site.Supplier.Engines() {
+			crashes += one.Counts().Crashes
+		}
+		Expect(crashes).To(Equal(2))
+	})
 })
--- a/internal/host/dispatch/run.go
+++ b/internal/host/dispatch/run.go
@@ -256,6 +256,9 @@
 		r.state.MaxTries = attempt.DefaultTries + r.rehomed
 		return r.apply(ending(leg, failure, true))
 	}
+	if failure.Crashed { // a crash ends all that ran beside its cause; each of them runs again
+		return r.apply(ending(leg, failure, true))
+	}
 	now := r.d.config.Now()
 	budget := &r.d.route(r.task.Route).budget
 	allowed := worthRetry(failure) && budget.Take(now)
