Show spending in the demo's report

Cause: the report lacked what backend servers cost.

Change: the servers that run are priced by the document over the length of the workload, and per thousand samples.

--- a/internal/host/demo/report.go
+++ b/internal/host/demo/report.go
@@ -33,6 +33,7 @@
 	Weights    uint64           `json:"weights"`
 	Withdrawn  time.Duration    `json:"withdrawn"` // until a withdrawn key was refused everywhere
 	Usage      Usage            `json:"usage"`
+	Spending   Spending         `json:"spending"`
 	Calls      map[string]int   `json:"calls"` // to the platform, by kind
 	Events     map[string]int   `json:"events"`
 	Promises   []Promise        `json:"promises"`
@@ -59,6 +60,7 @@
 		report.Calls[string(call)] = r.site.Platform.Calls(call)
 	}
 	report.Usage = Usage{Served: r.served(), Reported: r.reported()}
+	report.Spending = r.spending(report.Usage.Served.Samples)
 	report.Promises = r.promises(report)
 	return report
 }
@@ -159,6 +161,8 @@
 	r.writeLoad(out)
 	_, _ = fmt.Fprintf(out, "usage reported: %d requests, %d samples; served: %d requests, %d samples\n",
 		r.Usage.Reported.Requests, r.Usage.Reported.Samples, r.Usage.Served.Requests, r.Usage.Served.Samples)
+	_, _ = fmt.Fprintf(out, "spending: %.4f for %d backend servers, %.4f for 1000 samples\n",
+		r.Spending.Total, r.Spending.Servers, r.Spending.Sample)
 	_, _ = fmt.Fprintf(out, "key withdrawn everywhere after %s\n\n", r.Withdrawn.Round(time.Millisecond))
 	_, _ = fmt.Fprintf(out, "%-62s %9s %7s\n", "promise", "checked", "broken")
 	for _, p := range r.Promises {
