Ask the home's engines once whether a request may run, and hash no more than is used

Cause: a read of the whole change.

Change: route.Engines.MayRun serves the home and the reservation alike, Boot answers for one server, the hash stops at the prefix, and sample.Union joins versions. Behavior and tests stay as they are.

--- a/internal/entry/route/reserve.go
+++ b/internal/entry/route/reserve.go
@@ -102,20 +102,27 @@
 // fits applies rule 1 and the needs of the request.
 func (s *server) fits(now time.Time, need Need) bool {
 	switch {
-	case s.Pool != need.Pool, s.leaving, s.held, now.Before(s.open):
+	case !s.mayRun(need), s.held, now.Before(s.open):
 		return false
 	case len(s.running) >= s.slots(), s.solo != "":
 		return false
-	case need.Durable && !s.Durable, s.version < need.MinVersion:
-		return false
-	case slices.Contains(need.Avoid, s.Name):
-		return false
 	case need.Solo:
 		return len(s.running) == 0 && s.others(now) == 0
 	}
 	return !now.Before(s.quiet)
 }
 
+// mayRun says whether waiting can help: it leaves out what passes by itself.
+func (s *server) mayRun(need Need) bool {
+	switch {
+	case s.Pool != need.Pool, s.leaving:
+		return false
+	case need.Durable && !s.Durable, s.version < need.MinVersion:
+		return false
+	}
+	return !slices.Contains(need.Avoid, s.Name)
+}
+
 // cost estimates the time to finish (rule 2).
 func (s *server) cost(now time.Time, need Need) time.Duration {
 	prompt := float64(need.Prompt)
--- a/internal/entry/route/view.go
+++ b/internal/entry/route/view.go
@@ -36,6 +36,29 @@
 	return ok
 }
 
+// MayRun reports whether a backend server of this home may run a request now or
+// once it is free. One for which there is none must not wait here.
+func (e *Engines) MayRun(need Need) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.servers {
+		if s.mayRun(need) {
+			return true
+		}
+	}
+	return false
+}
+
+// Boot returns the last known boot of a backend server, empty for none.
+func (e *Engines) Boot(name string) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s := e.servers[name]; s != nil {
+		return s.boot
+	}
+	return ""
+}
+
 // States returns the backend servers ordered by name.
 func (e *Engines) States() []State {
 	e.mu.Lock()
--- a/internal/host/api/complete.go
+++ b/internal/host/api/complete.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"strings"
 
 	"github.com/labstack/echo/v4"
@@ -14,6 +13,7 @@
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
 	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
+	"github.com/hyssopwall/hyssopwall/internal/rollout/sample"
 	"github.com/hyssopwall/hyssopwall/internal/site/document"
 )
 
@@ -95,7 +95,7 @@
 
 func (g *generated) add(e engine.Event) {
 	g.text.WriteString(e.Text)
-	g.versions = union(g.versions, e.Versions)
+	g.versions = sample.Union(g.versions, e.Versions)
 	if e.Done {
 		g.tokens, g.reason = e.Tokens, e.Reason
 	}
@@ -115,12 +115,6 @@
 	}
 }
 
-func union(a, b []uint64) []uint64 {
-	all := append(slices.Clone(a), b...)
-	slices.Sort(all)
-	return slices.Compact(all)
-}
-
 func (s *Server) whole(ctx context.Context, c echo.Context, call Call, request completionRequest, form shape) error {
 	results := make([]generated, max(1, request.N))
 	group, ctx := errgroup.WithContext(ctx)
@@ -152,7 +146,7 @@
 		}
 		a.Choices = append(a.Choices, one)
 		a.Usage.Completion += result.tokens
-		a.Versions = union(a.Versions, result.versions)
+		a.Versions = sample.Union(a.Versions, result.versions)
 	}
 	a.Usage.Total = a.Usage.Completion
 	return a
--- a/internal/host/dispatch/admit.go
+++ b/internal/host/dispatch/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/entry/poison"
 	"github.com/hyssopwall/hyssopwall/internal/entry/quota"
@@ -78,12 +79,12 @@
 	return d.newRun(task, fingerprint), nil
 }
 
-func (d *Dispatcher) observe(call api.Call, began, ended int64, err error) {
+func (d *Dispatcher) observe(call api.Call, began time.Time, err error) {
 	if d.config.Observe == nil || call.Internal {
 		return
 	}
 	d.config.Observe(Result{
 		Workspace: call.Caller.Workspace, Route: call.Route.Name,
-		Good: err == nil, Took: nanoseconds(ended - began),
+		Good: err == nil, Took: d.config.Now().Sub(began),
 	})
 }
--- a/internal/host/dispatch/choose.go
+++ b/internal/host/dispatch/choose.go
@@ -78,7 +78,8 @@
 	if task.Engine == nil {
 		return 0
 	}
-	hashes := route.PrefixHashes(task.Engine.Prompt, prefixBytes)
+	start := task.Engine.Prompt[:min(len(task.Engine.Prompt), prefixBytes)]
+	hashes := route.PrefixHashes(start, prefixBytes)
 	if len(hashes) == 0 {
 		return 0
 	}
--- a/internal/host/dispatch/generate.go
+++ b/internal/host/dispatch/generate.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
 	"github.com/hyssopwall/hyssopwall/internal/backend/service"
@@ -12,14 +11,12 @@
 	"github.com/hyssopwall/hyssopwall/internal/host/forward"
 )
 
-func nanoseconds(n int64) time.Duration { return time.Duration(n) }
-
 // Generate runs a generation and passes its events on as they come. The last
 // event waits until the usage is counted. A broken stream is resumed on
 // another engine, and the caller sees no gap and no repeat.
 func (d *Dispatcher) Generate(ctx context.Context, call api.Call, request engine.Request, sink api.Sink) (err error) {
-	began := d.config.Now().UnixNano()
-	defer func() { d.observe(call, began, d.config.Now().UnixNano(), err) }()
+	began := d.config.Now()
+	defer func() { d.observe(call, began, err) }()
 	admitted, err := d.admit(ctx, call, request.MaxTokens)
 	if err != nil {
 		return err
@@ -69,8 +66,8 @@
 // idempotency key is claimed first, so that it is sent at most once whichever
 // hosts its repeats reach.
 func (d *Dispatcher) Invoke(ctx context.Context, call api.Call, request service.Request) (answer service.Answer, err error) {
-	began := d.config.Now().UnixNano()
-	defer func() { d.observe(call, began, d.config.Now().UnixNano(), err) }()
+	began := d.config.Now()
+	defer func() { d.observe(call, began, err) }()
 	admitted, err := d.admit(ctx, call, 1)
 	if err != nil {
 		return service.Answer{}, err
--- a/internal/host/dispatch/partial.go
+++ b/internal/host/dispatch/partial.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"slices"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
 	"github.com/hyssopwall/hyssopwall/internal/host/forward"
+	"github.com/hyssopwall/hyssopwall/internal/rollout/sample"
 )
 
 // partial is the text of a generation that has been passed on already. Another
@@ -24,11 +24,7 @@
 	p.text += e.Text
 	p.tokens += e.Tokens
 	p.blind = p.blind || (e.Text != "" && e.Tokens == 0)
-	for _, version := range e.Versions {
-		if !slices.Contains(p.versions, version) {
-			p.versions = append(p.versions, version)
-		}
-	}
+	p.versions = sample.Union(p.versions, e.Versions)
 }
 
 // taskOf returns the task of one leg: its own identity and remaining time, and
--- a/internal/host/home/explain.go
+++ b/internal/host/home/explain.go
@@ -72,12 +72,7 @@
 	if !ok || b.engine == nil {
 		return false
 	}
-	known := ""
-	for _, s := range h.engines.States() {
-		if s.Name == choice.Server {
-			known = s.Boot
-		}
-	}
+	known := h.engines.Boot(choice.Server)
 	ctx, stop := context.WithTimeout(ctx, crashProbe)
 	defer stop()
 	state, err := b.engine.State(ctx)
--- a/internal/host/home/home.go
+++ b/internal/host/home/home.go
@@ -164,15 +164,15 @@
 	for _, q := range h.allQueues() {
 		notify(q.Withdraw(reasonMoved, func(item queue.Item) bool {
 			j, isJob := item.Value.(*job)
-			return isJob && !h.fits(j.task)
+			return isJob && !h.engines.MayRun(needOf(j.task, nil))
 		}))
 	}
 }
 
 func (h *Home) sweepOnce() {
 	now := h.config.Now()
-	for pool, q := range h.queuesByPool() {
+	for _, q := range h.allQueues() {
 		notify(q.Sweep(now))
-		h.pump(pool, q)
+		h.pump(q)
 	}
 }
--- a/internal/host/home/run.go
+++ b/internal/host/home/run.go
@@ -32,7 +32,7 @@
 	switch {
 	case h.draining.Load():
 		return refuse(forward.CodeDraining, "the host stops", 0)
-	case !h.fits(task):
+	case !h.engines.MayRun(needOf(task, nil)):
 		return refuse(forward.CodeNone, "no backend server of "+task.Pool+" here that may run it", 0)
 	}
 	ctx, stop := context.WithTimeout(ctx, task.Left)
@@ -65,7 +65,7 @@
 	if errors.As(err, &refused) {
 		return started{}, busy(*refused)
 	}
-	h.pump(j.task.Pool, q)
+	h.pump(q)
 	select {
 	case place := <-j.start:
 		return place, nil
@@ -87,7 +87,7 @@
 	case place := <-j.start:
 		h.engines.Release(h.config.Now(), place.choice.Server, j.task.ID, route.Outcome{})
 		q.Settle(h.config.Now(), place.item, queue.Result{})
-		h.pump(j.task.Pool, q)
+		h.pump(q)
 	case <-j.shed:
 	}
 }
@@ -112,7 +112,7 @@
 }
 
 // pump starts waiting jobs for which a backend server is open.
-func (h *Home) pump(pool string, q *queue.Queue) {
+func (h *Home) pump(q *queue.Queue) {
 	for {
 		var choice route.Choice
 		item, ok, shed := q.Pop(h.config.Now(), func(item queue.Item) bool {
@@ -121,7 +121,7 @@
 				return false
 			}
 			var open bool
-			choice, open = h.engines.Reserve(h.config.Now(), needOf(pool, j))
+			choice, open = h.engines.Reserve(h.config.Now(), needOf(j.task, j.prefixes))
 			return open
 		})
 		notify(shed)
@@ -134,13 +134,13 @@
 	}
 }
 
-func needOf(pool string, j *job) route.Need {
+func needOf(task forward.Task, prefixes []uint64) route.Need {
 	need := route.Need{
-		ID: j.task.ID, Pool: pool, Prefixes: j.prefixes, Tokens: tokensOf(j.task),
-		MinVersion: j.task.Least, Durable: !j.task.Idempotent, Solo: j.task.Solo, Avoid: j.task.Avoid,
+		ID: task.ID, Pool: task.Pool, Prefixes: prefixes, Tokens: tokensOf(task),
+		MinVersion: task.Least, Durable: !task.Idempotent, Solo: task.Solo, Avoid: task.Avoid,
 	}
-	if j.task.Engine != nil {
-		need.Prompt = len(j.task.Engine.Prompt) / tokenBytes
+	if task.Engine != nil {
+		need.Prompt = len(task.Engine.Prompt) / tokenBytes
 	}
 	return need
 }
@@ -168,7 +168,7 @@
 	h.engines.Release(now, choice.Server, j.task.ID, outcome)
 	q := h.queueOf(j.task.Pool)
 	q.Settle(now, place.item, queue.Result{Used: tokens, Took: now.Sub(began), Whole: failure == nil})
-	h.pump(j.task.Pool, q)
+	h.pump(q)
 	if failure == nil {
 		return nil
 	}
--- a/internal/host/home/servers.go
+++ b/internal/host/home/servers.go
@@ -10,7 +10,6 @@
 	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
 	"github.com/hyssopwall/hyssopwall/internal/entry/queue"
 	"github.com/hyssopwall/hyssopwall/internal/entry/route"
-	"github.com/hyssopwall/hyssopwall/internal/host/forward"
 	"github.com/hyssopwall/hyssopwall/internal/site/document"
 )
 
@@ -119,22 +118,6 @@
 	return b, ok
 }
 
-// fits reports whether a backend server of this home may ever run a task. One
-// that none may run must not wait here: another home may have a place for it.
-func (h *Home) fits(task forward.Task) bool {
-	for _, s := range h.engines.States() {
-		switch {
-		case s.Pool != task.Pool || s.Leaving:
-		case slices.Contains(task.Avoid, s.Name):
-		case !task.Idempotent && !s.Durable:
-		case s.Version < task.Least:
-		default:
-			return true
-		}
-	}
-	return false
-}
-
 func (h *Home) queueOf(pool string) *queue.Queue {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -146,18 +129,10 @@
 	return q
 }
 
-func (h *Home) queuesByPool() map[string]*queue.Queue {
+func (h *Home) allQueues() []*queue.Queue {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return maps.Clone(h.queues)
-}
-
-func (h *Home) allQueues() []*queue.Queue {
-	var all []*queue.Queue
-	for _, q := range h.queuesByPool() {
-		all = append(all, q)
-	}
-	return all
+	return slices.Collect(maps.Values(h.queues))
 }
 
 // Servers returns the state of every backend server of this home.
