--- /dev/null
+++ b/internal/backend/pool/commands.go
@@ -0,0 +1,112 @@
+package pool
+
+import "time"
+
+// Replace puts a whole list of servers in.
+func (p *Pool) Replace(list []Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.servers
+	p.servers = make(map[string]*entry, len(list))
+	for _, s := range list {
+		p.servers[s.Name] = renewed(old[s.Name], s)
+	}
+	p.known = true
+	p.wake()
+}
+
+// Put adds a server or changes it.
+func (p *Pool) Put(s Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.servers == nil {
+		p.servers = map[string]*entry{}
+	}
+	p.servers[s.Name] = renewed(p.servers[s.Name], s)
+	p.wake()
+}
+
+// Remove drops a server that is gone.
+func (p *Pool) Remove(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.servers, name)
+}
+
+// renewed keeps what is known of a server unless it has restarted.
+func renewed(old *entry, s Server) *entry {
+	if old == nil || old.Boot != s.Boot || old.Address != s.Address {
+		return &entry{Server: s}
+	}
+	for model, version := range old.Versions {
+		if s.Versions[model] != version {
+			old.prefixes = nil // caches of older weights are gone
+		}
+	}
+	old.Server = s
+	return old
+}
+
+// Version takes in the weights that an answer named, which is earlier news than
+// the platform's list.
+func (c *Choice) Version(model string, version uint64) {
+	c.change(func(e *entry) {
+		if version <= e.Versions[model] {
+			return
+		}
+		versions := map[string]uint64{model: version}
+		for m, v := range e.Versions {
+			if m != model {
+				versions[m] = v
+			}
+		}
+		e.Versions = versions
+		e.prefixes = nil
+		c.pool.wake()
+	})
+}
+
+// Reported takes in the load that an answer carried.
+func (c *Choice) Reported(now time.Time, load Load) {
+	c.change(func(e *entry) { e.reported, e.at, e.beside = load, now, e.mine })
+}
+
+// Succeeded ends the backoff of the server.
+func (c *Choice) Succeeded() {
+	c.change(func(e *entry) { e.fails = 0 })
+}
+
+// Refused keeps the server from new requests for a moment: it said that it did
+// not run the request.
+func (c *Choice) Refused(now time.Time) {
+	c.change(func(e *entry) { e.until = now.Add(firstBackoff) })
+}
+
+// Failed backs off from the server, longer with each failure in a row.
+func (c *Choice) Failed(now time.Time) {
+	c.change(func(e *entry) {
+		wait := min(firstBackoff<<min(e.fails, 8), maxBackoff)
+		e.fails++
+		e.until = now.Add(wait)
+		e.prefixes = nil
+	})
+}
+
+// Release gives the place back; calls after the first do nothing.
+func (c *Choice) Release() {
+	c.once.Do(func() {
+		c.change(func(e *entry) {
+			e.mine--
+			c.pool.wake()
+		})
+	})
+}
+
+// change applies to the server unless it is gone or has restarted.
+func (c *Choice) change(apply func(*entry)) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if e := c.pool.servers[c.Server.Name]; e != nil && e.Boot == c.Server.Boot {
+		apply(e)
+	}
+}
--- /dev/null
+++ b/internal/backend/pool/pool.go
@@ -0,0 +1,235 @@
+// Package pool holds the backend servers of a site as one host knows them, and
+// chooses among them.
+//
+// Rules of the choice:
+//
+//  1. A server is eligible when it is not draining, not backing off, not in the
+//     avoid list, and holds weights of the wanted version or newer.
+//  2. Among the eligible the one with the least load per slot is chosen: the
+//     requests of this host there, plus what the server last reported beyond
+//     them while the report is fresh.
+//  3. A server that holds the wanted prefix counts as less loaded by
+//     prefixWorth, so that requests that share a prompt meet at one server.
+//  4. Within a hair of the least load, a server of this host's zone is taken,
+//     since traffic between zones is billed.
+//  5. A server whose load reaches its slots plus the queue allowance is not
+//     chosen: the caller waits or refuses.
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Weights of the choice and its times.
+const (
+	prefixWorth   = 0.25                   // load per slot up to which a cached prefix is cheaper than an idle server
+	zoneWorth     = 0.10                   // load per slot that staying in the zone is worth
+	reportExpiry  = 2 * time.Second        // age at which a reported load says nothing of the present
+	firstBackoff  = 200 * time.Millisecond // after a failure; doubles up to maxBackoff
+	maxBackoff    = 3 * time.Second        // a crashed server is back after some seconds
+	assumedPrefix = 8 * time.Second        // for which a prefix that was sent counts as cached; about two steps
+	maxPrefixes   = 512                    // prefixes remembered per server
+)
+
+// Server is a backend server as the platform lists it. Boot changes at each
+// start.
+type Server struct {
+	Name     string
+	Service  string
+	Address  string
+	Zone     string
+	Slots    int
+	Draining bool
+	Spot     bool
+	Boot     int64
+	Versions map[string]uint64 // weights by model
+}
+
+// Load is what a server says of itself along with an answer.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Need is what a request asks of a server.
+type Need struct {
+	Service string
+	Model   string
+	Floor   uint64 // oldest usable weights
+	Prefix  string // identifies the shared start of the prompt, empty for none
+	Queue   int    // requests beyond the slots that may wait at the server
+	Avoid   []string
+}
+
+// Pool is safe for concurrent use. Zone is that of this host.
+type Pool struct {
+	Zone string
+
+	mu      sync.Mutex
+	servers map[string]*entry
+	known   bool
+	changed chan struct{}
+}
+
+type entry struct {
+	Server
+	mine     int // requests of this host
+	reported Load
+	at       time.Time
+	beside   int // requests of this host at the time of the report
+	fails    int
+	until    time.Time // end of the backoff
+	prefixes map[string]time.Time
+}
+
+// Choice is a place on a server. Release gives it back.
+type Choice struct {
+	Server Server
+	pool   *Pool
+	once   sync.Once
+}
+
+// Known says whether a list of servers has been put in.
+func (p *Pool) Known() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.known
+}
+
+// Servers returns the servers, ordered by name.
+func (p *Pool) Servers() []Server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]Server, 0, len(p.servers))
+	for _, e := range p.servers {
+		all = append(all, e.Server)
+	}
+	slices.SortFunc(all, func(a, b Server) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Changed returns a channel that is closed at the next change that may make a
+// server eligible.
+func (p *Pool) Changed() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.changed == nil {
+		p.changed = make(chan struct{})
+	}
+	return p.changed
+}
+
+func (p *Pool) wake() {
+	if p.changed != nil {
+		close(p.changed)
+		p.changed = nil
+	}
+}
+
+// Pick chooses a server and counts the request there. It returns false when no
+// server may take it now.
+func (p *Pool) Pick(now time.Time, need Need) (*Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *entry
+	var least float64
+	for _, e := range p.servers {
+		if !e.eligible(now, need) {
+			continue
+		}
+		load := e.load(now)
+		if load >= float64(e.slots()+need.Queue) {
+			continue // rule 5
+		}
+		cost := p.cost(now, e, load, need)
+		if best == nil || cost < least || cost == least && e.Name < best.Name {
+			best, least = e, cost
+		}
+	}
+	if best == nil {
+		return nil, false
+	}
+	best.mine++
+	best.remember(now, need.Prefix)
+	return &Choice{Server: best.Server, pool: p}, true
+}
+
+func (p *Pool) cost(now time.Time, e *entry, load float64, need Need) float64 {
+	cost := load / float64(e.slots())
+	if until, ok := e.prefixes[need.Prefix]; ok && need.Prefix != "" && now.Before(until) {
+		cost -= prefixWorth // rule 3
+	}
+	if e.Zone == p.Zone {
+		cost -= zoneWorth // rule 4
+	}
+	return cost
+}
+
+func (e *entry) eligible(now time.Time, need Need) bool {
+	switch {
+	case e.Service != need.Service, e.Draining, now.Before(e.until):
+		return false
+	case slices.Contains(need.Avoid, e.Name):
+		return false
+	case need.Floor > 0 && e.Versions[need.Model] < need.Floor:
+		return false
+	}
+	return true
+}
+
+func (e *entry) slots() int { return max(1, e.Slots) }
+
+// load applies rule 2.
+func (e *entry) load(now time.Time) float64 {
+	others := 0
+	if now.Sub(e.at) < reportExpiry {
+		others = max(0, e.reported.Running+e.reported.Waiting-e.beside)
+	}
+	return float64(e.mine + others)
+}
+
+func (e *entry) remember(now time.Time, prefix string) {
+	if prefix == "" {
+		return
+	}
+	if e.prefixes == nil {
+		e.prefixes = map[string]time.Time{}
+	}
+	if len(e.prefixes) >= maxPrefixes {
+		for known, until := range e.prefixes {
+			if now.After(until) {
+				delete(e.prefixes, known)
+			}
+		}
+	}
+	e.prefixes[prefix] = now.Add(assumedPrefix)
+}
+
+// Usable returns how many servers of a service could take a request at all, by
+// rule 1 without the backoff.
+func (p *Pool) Usable(need Need) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for _, e := range p.servers {
+		if e.Service == need.Service && !e.Draining && (need.Floor == 0 || e.Versions[need.Model] >= need.Floor) {
+			count++
+		}
+	}
+	return count
+}
+
+// Idle says whether a server that may take the request uses less than half of
+// its slots.
+func (p *Pool) Idle(now time.Time, need Need) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.servers {
+		if e.eligible(now, need) && 2*e.load(now) < float64(e.slots()) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entry/forward/run.go
@@ -0,0 +1,364 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
+	"github.com/hyssopwall/hyssopwall/internal/entry/attempt"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+	"github.com/hyssopwall/hyssopwall/internal/site/policy"
+)
+
+// Times of a request.
+const (
+	// answerMargin is kept of a request's time to write its answer.
+	answerMargin = 40 * time.Millisecond
+	// waitShare is the part of the latency objective that a request may wait for
+	// a server: a refusal after that comes too late to be of use.
+	waitShare = 0.25
+	// leastHedge is the shortest time after which a second server is asked; the
+	// answers of most plain services take less.
+	leastHedge = 60 * time.Millisecond
+	// refusedAgain is the pause before a request that a server refused is offered
+	// to the same servers again.
+	refusedAgain = 25 * time.Millisecond
+	// comeBack is the Retry-After of a request that found every server full; a
+	// plain request takes some tens of milliseconds.
+	comeBack = 150 * time.Millisecond
+	// comeBackEmpty is the Retry-After while no server is known: a new one
+	// starts within seconds.
+	comeBackEmpty = time.Second
+)
+
+// queueAllowance is the number of requests that may wait at a plain service's
+// server beyond its slots; more would pass the objective while they wait.
+const queueAllowance = 6
+
+// Forwarder forwards plain requests. Pool, Sender and Ran must be set; Ran is
+// called for each request that a server began to run. It is safe for
+// concurrent use.
+type Forwarder struct {
+	Pool   *pool.Pool
+	Sender Sender
+	Ran    func(workspace string)
+	Log    event.Log
+
+	mu      sync.Mutex
+	budgets map[string]*attempt.Budget
+	delays  map[string]*attempt.Delay
+}
+
+// Do forwards a request of a route. The error is a *RefusedError, a
+// *FailedError, or that of the context when the caller has left.
+func (f *Forwarder) Do(ctx context.Context, route policy.Route, request Request) (Answer, error) {
+	left := request.Left
+	if route.Timeout > 0 && (left <= 0 || route.Timeout < left) {
+		left = route.Timeout
+	}
+	if left <= 0 {
+		left = attemptTimeout
+	}
+	budget, delay := f.of(route.Name)
+	budget.Request(time.Now())
+	bounded, cancel := context.WithTimeout(ctx, left-answerMargin)
+	defer cancel()
+	r := &run{
+		Forwarder: f, route: route, request: request, budget: budget, delay: delay,
+		service: route.Choose(rand.Float64()), //nolint:gosec // a draw among targets needs no secrecy
+		started: time.Now(), end: time.Now().Add(left),
+		results: make(chan result, max(route.Attempts, attempt.DefaultTries)+refusals),
+		state: attempt.State{
+			Phase: attempt.Queued, Idempotent: route.Kind == policy.Safe, MaxTries: max(1, route.Attempts),
+		},
+	}
+	answer, err := r.loop(bounded)
+	if err != nil && ctx.Err() != nil {
+		return Answer{}, ctx.Err()
+	}
+	f.note(route, request, r, answer, err)
+	return answer, err
+}
+
+// attemptTimeout bounds a request whose route and caller name no time.
+const attemptTimeout = 30 * time.Second
+
+// refusals is the number of times that servers may refuse a request before it
+// is given up.
+const refusals = 12
+
+func (f *Forwarder) of(route string) (*attempt.Budget, *attempt.Delay) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.budgets == nil {
+		f.budgets, f.delays = map[string]*attempt.Budget{}, map[string]*attempt.Delay{}
+	}
+	if f.budgets[route] == nil {
+		f.budgets[route], f.delays[route] = &attempt.Budget{}, &attempt.Delay{}
+	}
+	return f.budgets[route], f.delays[route]
+}
+
+// run is one request under way; one goroutine owns it.
+type run struct {
+	*Forwarder
+	route   policy.Route
+	request Request
+	service string
+	budget  *attempt.Budget
+	delay   *attempt.Delay
+	started time.Time
+	end     time.Time
+	state   attempt.State
+	results chan result
+	cancels map[int]context.CancelFunc
+	legs    int
+	tried   []string
+	refused int
+	last    error   // why the latest leg failed
+	failure *Answer // a server's own failure, handed on when nothing better comes
+}
+
+type result struct {
+	leg    int
+	choice *pool.Choice
+	answer Answer
+	err    error
+	took   time.Duration
+}
+
+func (r *run) loop(ctx context.Context) (Answer, error) {
+	r.cancels = map[int]context.CancelFunc{}
+	defer r.cancelAll()
+	decision := r.apply(attempt.Event{Kind: attempt.EventClaim})
+	for {
+		switch decision.Do {
+		case attempt.DoSend:
+			if err := r.send(ctx); err != nil {
+				return r.giveUp(err)
+			}
+		case attempt.DoHedge:
+			r.hedge(ctx)
+		case attempt.DoFinish:
+			return r.finish()
+		case attempt.DoNothing:
+		}
+		slow, stop := r.slowTimer()
+		select {
+		case got := <-r.results:
+			stop()
+			if answer, ok := r.take(got, &decision); ok {
+				return answer, nil
+			}
+		case <-slow:
+			decision = r.apply(attempt.Event{Kind: attempt.EventSlow, Budget: r.spare()})
+		case <-ctx.Done():
+			stop()
+			r.last = ctx.Err()
+			decision = r.apply(attempt.Event{Kind: attempt.EventExpire})
+		}
+	}
+}
+
+func (r *run) apply(e attempt.Event) attempt.Decision {
+	state, decision := attempt.Next(r.state, e)
+	r.state = state
+	return decision
+}
+
+// slowTimer fires once the only leg takes longer than most answers do.
+func (r *run) slowTimer() (<-chan time.Time, func()) {
+	if len(r.state.Legs) != 1 || !r.state.CanSend() {
+		return nil, func() {}
+	}
+	after, known := r.delay.After()
+	if !known {
+		after = r.route.Target
+	}
+	timer := time.NewTimer(max(after, leastHedge))
+	return timer.C, func() { timer.Stop() }
+}
+
+// spare says whether one more send is allowed: by the budget, or because a
+// server stands idle, so that the send takes nothing from other requests.
+func (r *run) spare() bool {
+	return r.budget.Take(time.Now()) || r.Pool.Idle(time.Now(), r.need())
+}
+
+func (r *run) need() pool.Need {
+	return pool.Need{Service: r.service, Queue: queueAllowance, Avoid: r.tried}
+}
+
+// send waits for a place on a server and starts a leg there.
+func (r *run) send(ctx context.Context) error {
+	patience := time.Duration(waitShare * float64(r.route.Target))
+	if patience <= 0 {
+		patience = time.Until(r.end)
+	}
+	timer := time.NewTimer(max(0, patience-time.Since(r.started)))
+	defer timer.Stop()
+	for {
+		changed := r.Pool.Changed()
+		if choice, ok := r.Pool.Pick(time.Now(), r.need()); ok {
+			r.start(ctx, choice)
+			return nil
+		}
+		if len(r.tried) > 0 {
+			r.tried = nil // every other server is full or down
+			continue
+		}
+		if r.Pool.Usable(r.need()) == 0 {
+			return &RefusedError{Reason: "no server of " + r.service, After: comeBackEmpty}
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return &RefusedError{Reason: "servers of " + r.service + " are full", After: comeBack}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// hedge starts a second leg if another server has room now.
+func (r *run) hedge(ctx context.Context) {
+	if choice, ok := r.Pool.Pick(time.Now(), r.need()); ok {
+		r.start(ctx, choice)
+	}
+}
+
+func (r *run) start(ctx context.Context, choice *pool.Choice) {
+	r.legs++
+	leg := r.legs
+	r.tried = append(slices.Clone(r.tried), choice.Server.Name)
+	r.apply(attempt.Event{Kind: attempt.EventSend, Leg: leg})
+	ctx, cancel := context.WithCancel(ctx)
+	r.cancels[leg] = cancel
+	request := r.request
+	request.Left = time.Until(r.end)
+	begun := time.Now()
+	go func() {
+		answer, err := r.Sender.Send(ctx, choice.Server, request)
+		choice.Release()
+		r.results <- result{leg, choice, answer, err, time.Since(begun)}
+	}()
+}
+
+// take looks at the end of a leg. It returns the answer that ends the request,
+// or sets the decision that follows.
+func (r *run) take(got result, decision *attempt.Decision) (Answer, bool) {
+	r.cancels[got.leg]()
+	now := time.Now()
+	if load := loadOf(got); load != nil {
+		got.choice.Reported(now, *load)
+	}
+	notRun, refused := errors.AsType[*NotRunError](got.err)
+	switch {
+	case refused:
+		*decision = r.refusal(got, notRun)
+	case got.err != nil:
+		r.ran()
+		got.choice.Failed(now)
+		r.last = got.err
+		*decision = r.apply(attempt.Event{Kind: attempt.EventBroken, Leg: got.leg, Budget: r.spare()})
+	case got.answer.Status >= http.StatusInternalServerError && r.state.Idempotent && r.state.CanSend():
+		r.ran()
+		answer := got.answer
+		r.failure = &answer
+		*decision = r.apply(attempt.Event{Kind: attempt.EventBroken, Leg: got.leg, Budget: r.spare()})
+	default:
+		r.ran()
+		got.choice.Succeeded()
+		r.delay.Add(got.took)
+		r.apply(attempt.Event{Kind: attempt.EventAnswer, Leg: got.leg})
+		return got.answer, true
+	}
+	return Answer{}, false
+}
+
+func loadOf(got result) *pool.Load {
+	if notRun, ok := errors.AsType[*NotRunError](got.err); ok {
+		return notRun.Load
+	}
+	return got.answer.Load
+}
+
+// refusal takes back a try that a server refused before any work.
+func (r *run) refusal(got result, why *NotRunError) attempt.Decision {
+	r.refused++
+	r.last = why
+	if why.Down {
+		got.choice.Failed(time.Now())
+	} else {
+		got.choice.Refused(time.Now())
+	}
+	r.state.Tries--
+	decision := r.apply(attempt.Event{Kind: attempt.EventRefused, Leg: got.leg, Budget: r.refused < refusals})
+	if decision.Do == attempt.DoSend && len(r.tried) >= r.Pool.Usable(pool.Need{Service: r.service}) {
+		time.Sleep(min(refusedAgain, time.Until(r.end)))
+	}
+	return decision
+}
+
+func (r *run) ran() {
+	if r.request.Workspace != "" {
+		r.Ran(r.request.Workspace)
+	}
+}
+
+func (r *run) giveUp(err error) (Answer, error) {
+	if refused, ok := errors.AsType[*RefusedError](err); ok {
+		if r.state.Ran() == attempt.RanNo {
+			return Answer{}, refused
+		}
+		r.last = err
+	} else {
+		r.last = err
+	}
+	r.apply(attempt.Event{Kind: attempt.EventExpire})
+	return r.finish()
+}
+
+// finish ends a request without a good answer.
+func (r *run) finish() (Answer, error) {
+	switch {
+	case r.failure != nil:
+		return *r.failure, nil
+	case r.state.Ran() == attempt.RanNo:
+		return Answer{}, &RefusedError{Reason: reason(r.last), After: comeBack}
+	}
+	return Answer{}, &FailedError{Late: errors.Is(r.last, context.DeadlineExceeded), Err: r.last}
+}
+
+func reason(err error) string {
+	if err == nil {
+		return "no server took the request"
+	}
+	return err.Error()
+}
+
+func (r *run) cancelAll() {
+	for _, cancel := range r.cancels {
+		cancel()
+	}
+}
+
+// note logs how a request ended; whole answers at the first server are left to
+// the counters.
+func (f *Forwarder) note(route policy.Route, request Request, r *run, answer Answer, err error) {
+	if err == nil && r.legs == 1 && answer.Status < http.StatusInternalServerError {
+		return
+	}
+	outcome := "answered"
+	if err != nil {
+		outcome = err.Error()
+	}
+	f.Log.Emit(event.RequestEnded, "request", request.ID, "route", route.Name, "workspace", request.Workspace,
+		"status", answer.Status, "outcome", outcome, "servers", r.tried, "sends", r.legs, "refusals", r.refused,
+		"last", reason(r.last), "ms", time.Since(r.started).Milliseconds())
+}
--- /dev/null
+++ b/internal/fleet/peer/peer.go
@@ -0,0 +1,213 @@
+// Package peer lets the hosts of a site find and call each other. Each host
+// writes one object with its address at its start; there is no heartbeat, since
+// calls show who answers.
+package peer
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/platform/rest"
+)
+
+// Prefix is that of the keys of hosts in the platform's store.
+const Prefix = "hyssopwall-hosts/"
+
+// Times of registration.
+const (
+	registerTimeout = 2 * time.Second        // of one call; the store answers in milliseconds
+	registerRetry   = 300 * time.Millisecond // after a failed call
+)
+
+// Host is what a host says of itself. Incarnation changes at each start.
+type Host struct {
+	Name        string `json:"name"`
+	Zone        string `json:"zone"`
+	Address     string `json:"address"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Check implements the check of decoded values.
+func (h Host) Check() error {
+	if h.Name == "" || h.Address == "" {
+		return &HostError{Name: h.Name, Reason: "lacks a name or an address"}
+	}
+	return nil
+}
+
+// HostError says why a host's object can't be used.
+type HostError struct {
+	Name   string
+	Reason string
+}
+
+func (e *HostError) Error() string { return fmt.Sprintf("host %q %s", e.Name, e.Reason) }
+
+// Directory is what a host knows of the others. Self must be set. It is safe
+// for concurrent use.
+type Directory struct {
+	Self Host
+	HTTP *http.Client
+
+	mu    sync.Mutex
+	hosts map[string]Host
+}
+
+// Register writes this host's object, again and again until it stands.
+func (d *Directory) Register(ctx context.Context, store object.Store) {
+	value, err := json.Marshal(d.Self)
+	if err != nil {
+		panic("peer: a host of plain fields always encodes: " + err.Error())
+	}
+	for ctx.Err() == nil && !d.registered(ctx, store, value) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(registerRetry):
+		}
+	}
+}
+
+func (d *Directory) registered(ctx context.Context, store object.Store, value []byte) bool {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	key := Prefix + d.Self.Name
+	found, err := store.Get(ctx, key)
+	if _, missing := errors.AsType[*object.NotFoundError](err); err != nil && !missing {
+		return false
+	}
+	_, err = store.Put(ctx, key, value, found.Version)
+	return err == nil
+}
+
+// Learn takes in a change of the hosts' objects. Objects that can't be read are
+// returned as errors and left out.
+func (d *Directory) Learn(change object.Change) []error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if change.Whole || d.hosts == nil {
+		d.hosts = map[string]Host{}
+	}
+	var unreadable []error
+	for _, o := range change.Objects {
+		name := o.Key[len(Prefix):]
+		if o.Deleted {
+			delete(d.hosts, name)
+			continue
+		}
+		var host Host
+		err := json.Unmarshal(o.Value, &host)
+		if err == nil {
+			err = host.Check()
+		}
+		if err != nil {
+			unreadable = append(unreadable, err)
+			continue
+		}
+		d.hosts[name] = host
+	}
+	return unreadable
+}
+
+// Hosts returns the known hosts, this one included, ordered by name.
+func (d *Directory) Hosts() []Host {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := []Host{d.Self}
+	for _, h := range d.hosts {
+		if h.Name != d.Self.Name {
+			all = append(all, h)
+		}
+	}
+	slices.SortFunc(all, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Find returns a host by its name.
+func (d *Directory) Find(name string) (Host, bool) {
+	for _, h := range d.Hosts() {
+		if h.Name == name {
+			return h, true
+		}
+	}
+	return Host{}, false
+}
+
+// Rank returns the place of this host among the known hosts, without those
+// left out, in an order that depends on the key alone.
+func (d *Directory) Rank(key string, without ...string) int {
+	own := score(key, d.Self.Name)
+	rank := 0
+	for _, h := range d.Hosts() {
+		if h.Name != d.Self.Name && !slices.Contains(without, h.Name) && score(key, h.Name) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func score(key, host string) uint64 { return xxhash.Sum64String(key + "\x00" + host) }
+
+// UnreachableError says that a host did not answer a call.
+type UnreachableError struct {
+	Host string
+	Err  error
+}
+
+func (e *UnreachableError) Error() string { return "host " + e.Host + " unreachable: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Err }
+
+// Call calls a method of another host. The error is an *UnreachableError.
+func Call[Res, Req any](ctx context.Context, d *Directory, host, method string, request Req) (Res, error) {
+	var answer Res
+	to, ok := d.Find(host)
+	if !ok {
+		return answer, &UnreachableError{Host: host, Err: errors.New("not known")}
+	}
+	body, err := cbor.Marshal(request)
+	if err != nil {
+		return answer, &UnreachableError{Host: host, Err: err}
+	}
+	caller := rest.Caller{Base: "http://" + to.Address, Source: d.Self.Name, HTTP: d.HTTP}
+	raw, err := caller.Do(ctx, rest.Call{Method: http.MethodPost, Path: "/" + method, Body: body})
+	if err == nil {
+		err = cbor.Unmarshal(raw, &answer)
+	}
+	if err != nil {
+		return answer, &UnreachableError{Host: host, Err: err}
+	}
+	return answer, nil
+}
+
+// MaxMessage bounds the body of a call in bytes: a value of the store and its
+// framing.
+const MaxMessage = object.MaxValue + 1<<16
+
+// Handle serves a method on a mux.
+func Handle[Req, Res any](mux *http.ServeMux, method string, serve func(context.Context, Req) Res) {
+	mux.HandleFunc("POST /"+method, func(w http.ResponseWriter, r *http.Request) {
+		var request Req
+		if err := cbor.NewDecoder(http.MaxBytesReader(w, r.Body, MaxMessage)).Decode(&request); err != nil {
+			http.Error(w, "message: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		body, err := cbor.Marshal(serve(r.Context(), request))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(body) // the caller finds a cut answer by its length
+	})
+}
--- /dev/null
+++ b/internal/host/node/learn.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+)
+
+// learnPolicy takes in a change of the configuration, or the proof that there
+// is none.
+func (n *Node) learnPolicy(change object.Change) {
+	known := max(change.Sent, clock()-doubt)
+	if change.Whole {
+		known = change.Sent
+	}
+	for _, o := range change.Objects {
+		if o.Key == n.Outside.Keys.Policy && !o.Deleted {
+			n.apply(o)
+		}
+	}
+	if n.Policy() != nil {
+		n.news.Store(max(n.news.Load(), int64(known)))
+	}
+}
+
+// apply puts a configuration in force unless a newer one is: it never goes
+// back while the host lives.
+func (n *Node) apply(o object.Object) {
+	next, err := n.Outside.Policy(o.Value)
+	if err != nil {
+		n.Log.Emit(event.ConfigurationUnreadable, "revision", o.Version, "err", err.Error())
+		return
+	}
+	if old := n.Policy(); old != nil && next.Version <= old.Version {
+		return
+	}
+	grace := n.Settings.Revoke - revokeMargin
+	table, err := gate.NewTable(next.Rules(grace))
+	if err != nil {
+		n.Log.Emit(event.ConfigurationUnreadable, "version", next.Version, "revision", o.Version, "err", err.Error())
+		return
+	}
+	withdrawn, err := n.Gate.Swap(table)
+	if _, stale := errors.AsType[*gate.StaleError](err); stale {
+		return
+	}
+	n.policy.Store(next)
+	n.Log.Emit(event.ConfigurationApplied, "version", next.Version, "revision", o.Version,
+		"routes", len(next.Routes), "workspaces", len(next.Workspaces), "withdrawn", len(withdrawn))
+}
+
+func (n *Node) learnHosts(change object.Change) {
+	for _, err := range n.Directory.Learn(change) {
+		n.Log.Emit(event.ServerIgnored, "err", err.Error())
+	}
+}
+
+// watchDuty notes when the duty is lost, after which this host does not contend
+// for a while.
+func (n *Node) watchDuty(ctx context.Context) {
+	held := false
+	every(ctx, newsTurn, func() {
+		_, now := n.holder.Held(Duty)
+		if held && !now {
+			n.lost.Store(int64(clock()))
+		}
+		held = now
+	})
+}
+
+// followHeld follows a prefix while this host holds the duty.
+func (n *Node) followHeld(ctx context.Context, prefix string, handle func(object.Change)) {
+	stop := func() {}
+	held := false
+	every(ctx, newsTurn, func() {
+		_, now := n.holder.Held(Duty)
+		if now == held {
+			return
+		}
+		held = now
+		stop()
+		if held {
+			following, cancel := context.WithCancel(ctx)
+			stop = cancel
+			follower := object.Follower{Reader: n.Outside.Watcher(listWait), Prefix: prefix, Now: clock, Handle: handle}
+			go follower.Run(following)
+		}
+	})
+	stop()
+}
+
+func (n *Node) learnReleases(change object.Change) {
+	for _, o := range change.Objects {
+		if o.Deleted {
+			continue
+		}
+		model, version, err := n.Outside.Release(o.Value)
+		if err != nil {
+			n.Log.Emit(event.ServerIgnored, "entry", o.Key, "revision", o.Version, "err", err.Error())
+			continue
+		}
+		n.roller.Learn(model, version)
+		n.Log.Emit(event.ReleaseSeen, "model", model, "version", version, "revision", o.Version)
+	}
+}
+
+// learnRetirements answers that a host with a disk is empty: nothing that lasts
+// is kept on disks.
+func (n *Node) learnRetirements(ctx context.Context) func(object.Change) {
+	return func(change object.Change) {
+		for _, o := range change.Objects {
+			if o.Deleted || n.retired[o.Key] {
+				continue
+			}
+			err := n.Outside.Retire(ctx, o)
+			n.retired[o.Key] = err == nil
+			n.Log.Emit(event.HostRetired, "entry", o.Key, "done", err == nil)
+		}
+	}
+}
+
+// newsTurn is the pace of looking at the age of the news.
+const newsTurn = 200 * time.Millisecond
+
+// watchNews logs when the news from the store gets too old for keys, and ends
+// the streams of keys whose grace is over.
+func (n *Node) watchNews(ctx context.Context) {
+	every(ctx, newsTurn, func() {
+		if n.Policy() == nil {
+			return
+		}
+		age := n.age()
+		stale := age >= readyAge
+		if n.stale.Swap(stale) != stale {
+			number := event.StoreFresh
+			if stale {
+				number = event.StoreStale
+			}
+			n.Log.Emit(number, "age", age.String(), "version", n.Policy().Version)
+		}
+		if stale {
+			n.Gate.ExpireGrace(n.cutOff(time.Now()), time.Now())
+		}
+	})
+}
+
+func every(ctx context.Context, pace time.Duration, do func()) {
+	ticker := time.NewTicker(pace)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do()
+		}
+	}
+}
+
+// cutOff returns the instant up to which the configuration is known, as the
+// gate wants it.
+func (n *Node) cutOff(now time.Time) time.Time { return now.Add(-n.age()) }
--- /dev/null
+++ b/internal/host/node/node.go
@@ -0,0 +1,286 @@
+// Package node assembles a host that runs on an operator's platform: entry,
+// batches, weights, usage and configuration, joined to the outside by the
+// functions and interfaces of Outside.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
+	"github.com/hyssopwall/hyssopwall/internal/billing/tally"
+	"github.com/hyssopwall/hyssopwall/internal/entry/forward"
+	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/lease"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/peer"
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/rollout/batch"
+	"github.com/hyssopwall/hyssopwall/internal/rollout/release"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+	"github.com/hyssopwall/hyssopwall/internal/site/policy"
+)
+
+// Settings are those of one host. Listen and Ready are the addresses for
+// callers and for the readiness check, Internal the one for other hosts.
+type Settings struct {
+	Host     string
+	Zone     string
+	Listen   string
+	Ready    string
+	Internal string
+	// Revoke is the time within which a withdrawn key must stop working on a
+	// host without news, zero for no bound.
+	Revoke time.Duration
+	// Turns is the time within which two hosts must not take turns as holders of
+	// a duty.
+	Turns time.Duration
+	// Window is the length of a usage window.
+	Window time.Duration
+	// Grace is the time that a planned stop may take.
+	Grace time.Duration
+}
+
+// Keys names what others write to the platform's store.
+type Keys struct {
+	Policy      string // the one object that holds the configuration
+	PolicyKind  string
+	Servers     string
+	Releases    string
+	Retirements string
+}
+
+// Outside is the platform as a host meets it.
+type Outside struct {
+	Store object.Store
+	// Watcher returns a reader whose watches wait up to a time.
+	Watcher func(wait time.Duration) object.Reader
+	Keys    Keys
+	Policy  func(value []byte) (*policy.Policy, error)
+	Server  func(name string, value []byte) (pool.Server, error)
+	Release func(value []byte) (model string, version uint64, err error)
+	Sender  forward.Sender
+	Engine  batch.Engine
+	Engines release.Engines
+	Report  func(ctx context.Context, window int64, counts tally.Counts, grant lease.Grant) error
+	// Retire says in the store that a host with a disk has been emptied.
+	Retire func(ctx context.Context, entry object.Object) error
+}
+
+// Duty is the name of the lease under which a host reports usage and orders
+// weights.
+const Duty = "control"
+
+// Times of a host.
+const (
+	// policyWait is how long a watch of the configuration waits: each end proves
+	// that there is no newer one, so it bounds the age of that proof.
+	policyWait = 1500 * time.Millisecond
+	// listWait is how long other watches wait; each call is billed.
+	listWait = 20 * time.Second
+	// doubt is how far behind a watch that ended without news may be: a slow
+	// answer, or changes made while watches hear nothing for a second.
+	doubt = 1200 * time.Millisecond
+	// revokeMargin is kept of the bound for withdrawn keys, for the time from a
+	// caller's sending to the check.
+	revokeMargin = 300 * time.Millisecond
+	// readyAge is the age of the news at which a host asks for no more callers.
+	// It is above the age that a host reaches between two watches.
+	readyAge = 3800 * time.Millisecond
+	// reachAge is the age of the news at which a host is too far from the store
+	// to run batches for others.
+	reachAge = 4500 * time.Millisecond
+	// leaveEntry is how long a stopping host takes callers until the balancer has
+	// noticed: it asks each second and wants two misses.
+	leaveEntry = 3500 * time.Millisecond
+	// leaveMargin is kept of the grace for the end of the process.
+	leaveMargin = 700 * time.Millisecond
+)
+
+// The lease is short, since orders and reports wait for a successor.
+var leaseTimes = lease.Config{
+	Term: 2500 * time.Millisecond, Margin: 400 * time.Millisecond, Flight: 1200 * time.Millisecond,
+	Renew: 800 * time.Millisecond, Poll: 900 * time.Millisecond,
+}
+
+// contenders is the number of hosts that contend for a duty; each reads the
+// store once per poll.
+const contenders = 3
+
+// Node is a host. Create it with New.
+type Node struct {
+	Settings    Settings
+	Outside     Outside
+	Log         event.Log
+	Incarnation uint64
+
+	Gate      gate.Gate
+	Pool      *pool.Pool
+	Forwarder *forward.Forwarder
+	Book      *batch.Book
+	Tally     *tally.Tally
+	Directory *peer.Directory
+
+	holder   *lease.Holder
+	reporter *tally.Reporter
+	roller   *release.Roller
+	policy   atomic.Pointer[policy.Policy]
+	news     atomic.Int64 // instant up to which the configuration is known, by clock
+	leaving  atomic.Bool
+	stale    atomic.Bool
+	lost     atomic.Int64    // instant by clock at which the duty was last lost
+	retired  map[string]bool // entries answered; owned by their follower
+	done     chan struct{}
+}
+
+// clock counts suspend, as bounds on news and leases need.
+func clock() time.Duration { return lease.Boot{}.Now() }
+
+// New assembles a host.
+func New(settings Settings, outside Outside, log event.Log) *Node {
+	n := &Node{Settings: settings, Outside: outside, Log: log, Incarnation: uint64(time.Now().UnixNano()), done: make(chan struct{}), retired: map[string]bool{}}
+	n.Pool = &pool.Pool{Zone: settings.Zone}
+	n.Tally = &tally.Tally{Window: settings.Window}
+	n.Directory = &peer.Directory{Self: peer.Host{
+		Name: settings.Host, Zone: settings.Zone, Address: settings.Internal, Incarnation: n.Incarnation,
+	}}
+	n.Forwarder = &forward.Forwarder{
+		Pool: n.Pool, Sender: outside.Sender, Log: log,
+		Ran: func(workspace string) { n.Tally.Count(time.Now(), workspace) },
+	}
+	n.Book = &batch.Book{
+		Host: settings.Host, Incarnation: n.Incarnation, Store: outside.Store, Peers: peers{n.Directory},
+		Pool: n.Pool, Engine: outside.Engine, Scores: scores{n}, Policy: n.Policy,
+		Reaches: func() bool { return n.age() < reachAge }, Log: log,
+	}
+	n.duties()
+	return n
+}
+
+func (n *Node) duties() {
+	n.holder = &lease.Holder{
+		Host: n.Settings.Host, Incarnation: n.Incarnation, Store: n.Outside.Store, Clock: lease.Boot{},
+		Config: leaseTimes, Duties: []string{Duty}, Contend: n.contends, Log: n.Log,
+	}
+	n.reporter = &tally.Reporter{
+		Tally: n.Tally, Store: n.Outside.Store, Holder: n.holder, Duty: Duty,
+		Hosts: n.others, Ask: n.askCounts, Report: n.Outside.Report, Log: n.Log,
+	}
+	n.roller = &release.Roller{
+		Pool: n.Pool, Policy: n.Policy, Engines: n.Outside.Engines, Holder: n.holder, Duty: Duty, Log: n.Log,
+	}
+}
+
+// contends says whether this host may take the duty. One that just started or
+// lost it waits, so that two hosts don't take turns.
+func (n *Node) contends(string) bool {
+	now := clock()
+	settled := now-time.Duration(n.lost.Load()) > n.Settings.Turns
+	return settled && n.Directory.Rank(Duty) < contenders && n.Ready()
+}
+
+// Policy returns the configuration in force, nil before the first.
+func (n *Node) Policy() *policy.Policy { return n.policy.Load() }
+
+// age returns how old the latest proof of the configuration is.
+func (n *Node) age() time.Duration { return clock() - time.Duration(n.news.Load()) }
+
+// Ready says whether the host should get callers.
+func (n *Node) Ready() bool {
+	return !n.leaving.Load() && n.Policy() != nil && n.Pool.Known() && n.age() < readyAge
+}
+
+// Leaving says whether a planned stop has begun.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
+// Run serves until the context ends, and then stops gracefully.
+func (n *Node) Run(ctx context.Context, entry http.Handler) error {
+	defer close(n.done)
+	n.lost.Store(int64(clock()))
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	working, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group sync.WaitGroup
+	for _, part := range n.parts(working) {
+		group.Go(part)
+	}
+	front := n.serve(listeners, entry)
+	n.Log.Emit(event.HostStarted, "zone", n.Settings.Zone, "listen", n.Settings.Listen,
+		"internal", n.Settings.Internal, "incarnation", n.Incarnation)
+	<-ctx.Done()
+	n.leave(working, front)
+	stop()
+	group.Wait()
+	n.Log.Emit(event.HostStopped)
+	return nil
+}
+
+// Done returns a channel that is closed when Run has returned.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// parts returns the loops of the host, each to run in a goroutine of its own.
+func (n *Node) parts(ctx context.Context) []func() {
+	keys := n.Outside.Keys
+	follow := func(wait time.Duration, prefix string, handle func(object.Change)) func() {
+		f := object.Follower{Reader: n.Outside.Watcher(wait), Prefix: prefix, Now: clock, Handle: handle}
+		return func() { f.Run(ctx) }
+	}
+	return []func(){
+		follow(policyWait, keys.PolicyKind, n.learnPolicy),
+		follow(listWait, keys.Servers, n.learnServers),
+		follow(listWait, peer.Prefix, n.learnHosts),
+		follow(listWait, batch.RecordPrefix, n.Book.Learn),
+		func() { n.Directory.Register(ctx, n.Outside.Store) },
+		func() { n.Book.Run(ctx) },
+		func() { n.holder.Run(ctx) },
+		func() { n.reporter.Run(ctx) },
+		func() { n.roller.Run(ctx) },
+		func() { n.watchDuty(ctx) },
+		func() { n.followHeld(ctx, keys.Releases, n.learnReleases) },
+		func() { n.followHeld(ctx, keys.Retirements, n.learnRetirements(ctx)) },
+		func() { n.watchNews(ctx) },
+	}
+}
+
+type listeners struct {
+	front, ready, internal net.Listener
+}
+
+func (n *Node) listen() (listeners, error) {
+	var (
+		l   listeners
+		err error
+	)
+	for _, one := range []struct {
+		to      *net.Listener
+		address string
+	}{{&l.front, n.Settings.Listen}, {&l.ready, n.Settings.Ready}, {&l.internal, n.Settings.Internal}} {
+		if *one.to, err = net.Listen("tcp", one.address); err != nil {
+			return l, err
+		}
+	}
+	return l, nil
+}
+
+// leave stops the host without cutting a request.
+func (n *Node) leave(ctx context.Context, front *http.Server) {
+	n.leaving.Store(true)
+	n.Log.Emit(event.HostDraining)
+	ctx, cancel := context.WithTimeout(ctx, n.Settings.Grace-leaveMargin)
+	defer cancel()
+	var group sync.WaitGroup
+	group.Go(func() { n.Book.Leave(ctx) })
+	group.Go(func() { _ = n.holder.Release(ctx) }) // a holder that can't release is expelled
+	select {
+	case <-ctx.Done():
+	case <-time.After(leaveEntry):
+	}
+	_ = front.Shutdown(ctx) // what is still open when the grace is over is cut
+	group.Wait()
+}
--- /dev/null
+++ b/internal/platform/object/follow.go
@@ -0,0 +1,80 @@
+package object
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+)
+
+// The wait after a failed call of a follower doubles between these, with
+// jitter, so that followers don't return in step after an outage. The first is
+// well below the time in which a change has to be in force (2 s).
+const (
+	firstFollowRetry = 100 * time.Millisecond
+	lastFollowRetry  = 800 * time.Millisecond
+)
+
+// CompactedError says that the changes after a revision are no longer kept. The
+// objects have to be listed again.
+type CompactedError struct {
+	Prefix string
+}
+
+func (e *CompactedError) Error() string { return "history of " + e.Prefix + " was compacted" }
+
+// Change is what a follower hands on: all objects of a prefix when Whole is
+// set, else those that changed. Sent is when the call that brought it was sent,
+// by the follower's clock.
+type Change struct {
+	Batch
+	Whole bool
+	Sent  time.Duration
+}
+
+// Follower keeps up with the objects under a prefix. Now is a clock that counts
+// suspend. Handle is called by one goroutine, also for a watch that ended
+// without a change, since that shows that nothing has changed.
+type Follower struct {
+	Reader Reader
+	Prefix string
+	Now    func() time.Duration
+	Handle func(Change)
+}
+
+// Run lists once and then watches, until the context ends.
+func (f Follower) Run(ctx context.Context) {
+	var after uint64
+	listed, retry := false, firstFollowRetry
+	for ctx.Err() == nil {
+		change, err := f.next(ctx, listed, after)
+		if err == nil {
+			listed, after, retry = true, change.Revision, firstFollowRetry
+			f.Handle(change)
+			continue
+		}
+		if _, compacted := errors.AsType[*CompactedError](err); compacted {
+			listed = false
+			continue
+		}
+		sleep(ctx, retry/2+rand.N(retry))
+		retry = min(2*retry, lastFollowRetry)
+	}
+}
+
+func (f Follower) next(ctx context.Context, listed bool, after uint64) (Change, error) {
+	sent := f.Now()
+	if !listed {
+		batch, err := f.Reader.List(ctx, f.Prefix)
+		return Change{Batch: batch, Whole: true, Sent: sent}, err
+	}
+	batch, err := f.Reader.Watch(ctx, f.Prefix, after)
+	return Change{Batch: batch, Sent: sent}, err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -37,9 +37,11 @@
 	HTTP   *http.Client
 }
 
-// Call is one request.
+// Call is one request. Host replaces the host name of the caller's base in the
+// request's header, for a server that tells its tenants apart by it.
 type Call struct {
 	Method string
+	Host   string
 	Path   string
 	Query  url.Values
 	Header http.Header
@@ -107,6 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
+	request.Host = call.Host
 	request.ContentLength = int64(len(call.Body))
 	for name, values := range call.Header {
 		request.Header[name] = values
--- a/internal/platform/rest/transport.go
+++ b/internal/platform/rest/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -22,14 +23,34 @@
 // shared is made at first use, so that the zero Caller works.
 var shared = sync.OnceValue(NewClient)
 
-// NewClient returns an HTTP client with connections of its own. It uses no
-// proxy and asks for no compression, so that bytes arrive as they were sent.
-func NewClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+// Connections are the times of a client's connections. Silence is the time
+// after which a connection whose other end answers nothing at all is given up.
+// Zero fields take the defaults.
+type Connections struct {
+	Dial    time.Duration
+	Idle    time.Duration
+	Silence time.Duration
+}
+
+// silenceProbes is the number of unanswered probes that end a connection.
+const silenceProbes = 2
+
+// NewClient returns an HTTP client with connections of its own and the default
+// times.
+func NewClient() *http.Client { return Connections{}.Client() }
+
+// Client returns an HTTP client with connections of its own. It uses no proxy
+// and asks for no compression, so that bytes arrive as they were sent.
+func (c Connections) Client() *http.Client {
+	dialer := &net.Dialer{Timeout: cmp.Or(c.Dial, dialTimeout), KeepAlive: keepAlivePeriod}
+	if c.Silence > 0 {
+		probe := c.Silence / (silenceProbes + 1)
+		dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: probe, Interval: probe, Count: silenceProbes}
+	}
 	transport := &http.Transport{
 		DialContext:            counted(dialer),
 		DisableCompression:     true,
-		IdleConnTimeout:        idleTimeout,
+		IdleConnTimeout:        cmp.Or(c.Idle, idleTimeout),
 		MaxIdleConnsPerHost:    idlePerHost,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
--- /dev/null
+++ b/internal/rollout/batch/book.go
@@ -0,0 +1,211 @@
+package batch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
+	"github.com/hyssopwall/hyssopwall/internal/entry/forward"
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+	"github.com/hyssopwall/hyssopwall/internal/site/policy"
+)
+
+// Stream is a generation in progress. Next returns io.EOF after the last event
+// of a whole text; any earlier end is an error. Close stops the generation.
+type Stream interface {
+	Next() (Event, error)
+	Close()
+}
+
+// Event is one event of a generation. Number counts from 1 over all runs of an
+// item. Version is that of the weights, zero when it did not change.
+type Event struct {
+	Number  int
+	Text    string
+	Version uint64
+}
+
+// Engine starts generations. Errors are those of package forward, or a
+// *FailedRunError for a run that the engine itself ended.
+type Engine interface {
+	Generate(ctx context.Context, server pool.Server, request forward.Request) (Stream, error)
+}
+
+// FailedRunError says that an engine failed a run. Final says that no engine
+// can ever do it.
+type FailedRunError struct {
+	Final bool
+}
+
+func (e *FailedRunError) Error() string { return "engine failed the run" }
+
+// Scores calls scorers. The score is empty for an answer that gives none.
+type Scores interface {
+	Score(ctx context.Context, scorer Scorer) (score string, err error)
+}
+
+// FailedScoreError says that a scorer answered with a failure, Fails times in
+// all, out of Most.
+type FailedScoreError struct {
+	Fails, Most int
+}
+
+func (e *FailedScoreError) Error() string { return "scorer failed" }
+
+// Peers calls the same book on another host.
+type Peers interface {
+	Rank(key string, without ...string) int
+	Read(ctx context.Context, host string, request ReadRequest) (ReadReply, error)
+	Body(ctx context.Context, host string, request BodyRequest) (BodyReply, error)
+	End(ctx context.Context, host, id string) error
+	// Ping says whether a host answers and reaches the store, and its
+	// incarnation.
+	Ping(ctx context.Context, host string) (incarnation uint64, healthy bool)
+}
+
+// ReadRequest asks the owner for results.
+type ReadRequest struct {
+	ID    string        `cbor:"1,keyasint"`
+	After int           `cbor:"2,keyasint"`
+	Wait  time.Duration `cbor:"3,keyasint"`
+}
+
+// ReadReply answers a ReadRequest. Owned is false when the host asked does not
+// run the batch.
+type ReadReply struct {
+	Owned bool `cbor:"1,keyasint"`
+	Page  Page `cbor:"2,keyasint"`
+}
+
+// BodyRequest asks the owner for the body of an item that is not listed yet.
+type BodyRequest struct {
+	ID   string `cbor:"1,keyasint"`
+	Item string `cbor:"2,keyasint"`
+}
+
+// BodyReply answers a BodyRequest.
+type BodyReply struct {
+	Owned bool   `cbor:"1,keyasint"`
+	Found bool   `cbor:"2,keyasint"`
+	Body  []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// Book holds what a host knows of batches. Set the exported fields, then call
+// Run. It is safe for concurrent use.
+type Book struct {
+	Host        string
+	Incarnation uint64
+	Store       object.Store
+	Peers       Peers
+	Pool        *pool.Pool
+	Engine      Engine
+	Scores      Scores
+	Policy      func() *policy.Policy
+	// Reaches says whether the store answered lately.
+	Reaches func() bool
+	Log     event.Log
+
+	mu      sync.Mutex
+	ctx     context.Context
+	known   map[string]known
+	works   map[string]*work
+	logs    map[string][]Result // of batches that others run or ran, as read
+	chunks  map[string]int      // objects read of those
+	leaving bool
+	group   sync.WaitGroup
+}
+
+// known is a record with its version in the store.
+type known struct {
+	Record
+	version uint64
+}
+
+// Run works until the context ends.
+func (b *Book) Run(ctx context.Context) {
+	b.mu.Lock()
+	b.start(ctx)
+	b.mu.Unlock()
+	b.watchOwners(ctx)
+	b.group.Wait()
+}
+
+func (b *Book) start(ctx context.Context) {
+	b.ctx = ctx
+	if b.known == nil {
+		b.known = map[string]known{}
+		b.works = map[string]*work{}
+		b.logs = map[string][]Result{}
+		b.chunks = map[string]int{}
+	}
+}
+
+func (b *Book) ledger() ledger { return ledger{b.Store} }
+
+// Learn takes in a change of the records.
+func (b *Book) Learn(change object.Change) {
+	for _, o := range change.Objects {
+		id := o.Key[len(RecordPrefix):]
+		if o.Deleted {
+			b.forget(id)
+			continue
+		}
+		record, err := decode[Record](o.Value)
+		if err != nil {
+			b.Log.Emit(event.BatchUnreadable, "batch", id, "err", err.Error())
+			continue
+		}
+		b.learn(id, record, o.Version)
+	}
+}
+
+// learn takes in a record unless a newer one is known, and stops the batch's
+// work here when it has ended or belongs to another.
+func (b *Book) learn(id string, record Record, version uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.known == nil || b.known[id].version >= version {
+		return
+	}
+	b.known[id] = known{record, version}
+	w := b.works[id]
+	if w == nil || !record.Ended && record.Owner == b.Host && record.Incarnation == b.Incarnation {
+		return
+	}
+	if !record.Ended && record.Epoch < w.epoch {
+		return
+	}
+	delete(b.works, id)
+	w.cancel()
+	b.Log.Emit(event.BatchDropped, "batch", id, "ended", record.Ended, "owner", record.Owner, "epoch", record.Epoch)
+}
+
+func (b *Book) forget(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.known, id)
+	delete(b.logs, id)
+	delete(b.chunks, id)
+}
+
+func (b *Book) work(id string) *work {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.works[id]
+}
+
+func (b *Book) lookup(id string) (known, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k, ok := b.known[id]
+	return k, ok
+}
+
+// Open returns the number of batches that run here.
+func (b *Book) Open() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.works)
+}
--- /dev/null
+++ b/internal/rollout/batch/commands.go
@@ -0,0 +1,153 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+)
+
+// Waits that callers are told.
+const (
+	// comeBackStore is the Retry-After while the store does not take a batch;
+	// its short troubles pass within a second.
+	comeBackStore = time.Second
+	// comeBackLeaving is the Retry-After of a host that is stopping: any other
+	// host takes the batch at once.
+	comeBackLeaving = 50 * time.Millisecond
+)
+
+// endNotice bounds the call that tells an owner of an end at once.
+const endNotice = 800 * time.Millisecond
+
+// Accept stores a batch and starts it here. A batch that stands already is
+// accepted again. The error is an *UnavailableError when it was certainly not
+// accepted and never will be, else an *UnsureError.
+func (b *Book) Accept(ctx context.Context, batch Batch) error {
+	if _, ok := b.lookup(batch.ID); ok {
+		return nil
+	}
+	b.mu.Lock()
+	leaving := b.leaving
+	b.mu.Unlock()
+	if leaving {
+		return &UnavailableError{Err: context.Canceled, After: comeBackLeaving}
+	}
+	parts, err := split(batch)
+	if err != nil {
+		return &UnavailableError{Err: err, After: comeBackStore}
+	}
+	if err := b.ledger().writeBody(ctx, batch.ID, parts); err != nil {
+		return &UnavailableError{Err: err, After: comeBackStore} // a body alone runs nothing
+	}
+	record := Record{
+		Workspace: batch.Workspace, Route: batch.Route, Total: len(batch.Items), Parts: len(parts),
+		Submitted: time.Now().UnixMilli(), Owner: b.Host, Incarnation: b.Incarnation, Epoch: 1,
+	}
+	return b.create(ctx, batch, record)
+}
+
+// create brings the record into being. A write without an answer may take
+// effect seconds later, so it is read back and never called refused.
+func (b *Book) create(ctx context.Context, batch Batch, record Record) error {
+	value, err := encode(record)
+	if err != nil {
+		return &UnavailableError{Err: err, After: comeBackStore}
+	}
+	doubt := false
+	for {
+		stored, err := b.ledger().put(ctx, RecordPrefix+batch.ID, value, 0)
+		switch {
+		case err == nil:
+			b.learn(batch.ID, record, stored.Version)
+			b.begin(batch, record, nil, 0)
+			return nil
+		case conflicts(err):
+			return b.adoptOwn(ctx, batch)
+		case unsure(err):
+			doubt = true
+		case !doubt:
+			return &UnavailableError{Err: err, After: comeBackStore}
+		}
+		if ctx.Err() != nil {
+			return &UnsureError{Err: err}
+		}
+		retry(ctx)
+	}
+}
+
+// adoptOwn finishes an acceptance whose record stands already: by this host, if
+// the answer to its write was lost, or by another.
+func (b *Book) adoptOwn(ctx context.Context, batch Batch) error {
+	record, version, err := b.ledger().record(ctx, batch.ID)
+	if err != nil {
+		return &UnsureError{Err: err}
+	}
+	b.learn(batch.ID, record, version)
+	if record.Owner == b.Host && record.Incarnation == b.Incarnation && !record.Ended {
+		b.begin(batch, record, nil, 0)
+	}
+	return nil
+}
+
+// begin starts the work on a batch that this host owns.
+func (b *Book) begin(batch Batch, record Record, log []Result, chunks int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.works[batch.ID] != nil || b.leaving || b.ctx == nil {
+		return
+	}
+	if k := b.known[batch.ID]; k.Ended || k.Epoch > record.Epoch {
+		return
+	}
+	w := newWork(b, batch, record, log, chunks)
+	ctx, cancel := context.WithCancel(b.ctx)
+	w.cancel = cancel
+	b.works[batch.ID] = w
+	b.group.Go(func() { w.run(ctx) })
+	b.Log.Emit(event.BatchStarted, "batch", batch.ID, "route", batch.Route, "workspace", batch.Workspace,
+		"items", len(batch.Items), "listed", len(log), "epoch", record.Epoch, "floor", batch.Floor, "step", batch.Step)
+}
+
+// End ends a batch of a workspace. It returns once the record says so.
+func (b *Book) End(ctx context.Context, id, workspace string) error {
+	foreign := false
+	record, version, err := b.ledger().change(ctx, id, func(r *Record) bool {
+		foreign = r.Workspace != workspace
+		changed := !r.Ended && !foreign
+		r.Ended = true
+		return changed
+	})
+	switch {
+	case foreign || missing(err):
+		return &NotFoundError{ID: id}
+	case err != nil:
+		return &UnavailableError{Err: err, After: comeBackStore}
+	}
+	b.learn(id, record, version)
+	if record.Owner != b.Host {
+		b.group.Go(func() { b.tell(record.Owner, id) })
+	}
+	return nil
+}
+
+// tell lets the owner of an ended batch know at once; its watch does so later.
+func (b *Book) tell(owner, id string) {
+	b.mu.Lock()
+	ctx := b.ctx
+	b.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, endNotice)
+	defer cancel()
+	if err := b.Peers.End(ctx, owner, id); err != nil {
+		b.Log.Emit(event.BatchNoticeFailed, "batch", id, "owner", owner, "err", err.Error())
+	}
+}
+
+// Ended stops the work on a batch whose end another host has written.
+func (b *Book) Ended(id string) {
+	k, ok := b.lookup(id)
+	if ok && !k.Ended {
+		k.Ended = true
+		b.learn(id, k.Record, k.version+1) // the watch brings the real version, which is not lower
+	}
+}
--- /dev/null
+++ b/internal/rollout/batch/generate.go
@@ -0,0 +1,240 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
+	"github.com/hyssopwall/hyssopwall/internal/entry/forward"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+)
+
+// Times of a generation.
+const (
+	// firstStall is the longest wait for the first event: an engine queues
+	// requests, so it is longer than the gap between events.
+	firstStall = 4 * time.Second
+	// stall is the longest gap between events: ten times the largest gap that
+	// trainers allow, well below a crashed engine's silence.
+	stall = 1500 * time.Millisecond
+	// again is the pause before an item is offered to engines once more.
+	again = 40 * time.Millisecond
+	// scoreAgain is the pause before a scorer is called once more.
+	scoreAgain = 80 * time.Millisecond
+	// engineQueue is the number of generations that may wait at an engine beyond
+	// its slots: one round of the shortest ones.
+	engineQueue = 2
+)
+
+// staleError says that an engine generates with weights that are too old, or
+// other ones than the text so far where one version is wanted.
+type staleError struct {
+	version uint64
+}
+
+func (e *staleError) Error() string { return "weights do not fit the batch" }
+
+// generation is one item under way; one goroutine owns it.
+type generation struct {
+	*work
+	item     Item
+	texts    []string // one for each event
+	versions []uint64 // ordered, without repeats
+	fails    int
+	avoid    string
+	runs     int
+}
+
+// dispatch starts the items in their order, each once an engine has a place.
+func (w *work) dispatch(ctx context.Context, start func(*generation, *pool.Choice)) {
+	for _, item := range w.batch.Items {
+		if w.isListed(item.ID) {
+			continue
+		}
+		select {
+		case w.places <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		g := &generation{work: w, item: item}
+		choice, ok := g.pick(ctx)
+		if !ok && ctx.Err() != nil {
+			return
+		}
+		start(g, choice)
+	}
+}
+
+// pick waits for a place on an engine until the item may be given up.
+func (g *generation) pick(ctx context.Context) (*pool.Choice, bool) {
+	for {
+		need := pool.Need{
+			Service: g.batch.Service, Model: g.batch.Model, Floor: g.batch.Floor,
+			Prefix: g.item.Prefix, Queue: engineQueue,
+		}
+		if g.avoid != "" && g.Pool.Usable(need) > 1 {
+			need.Avoid = []string{g.avoid}
+		}
+		changed := g.Pool.Changed()
+		if choice, ok := g.Pool.Pick(time.Now(), need); ok {
+			return choice, true
+		}
+		left := time.Until(g.expires)
+		if left <= 0 {
+			return nil, false
+		}
+		select {
+		case <-changed:
+		case <-time.After(min(again, left)): // a backoff ends without a change
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
+// run generates the item, beginning with a place that was picked. It returns
+// false when the context ended first.
+func (g *generation) run(ctx context.Context, choice *pool.Choice) (Result, bool) {
+	for ctx.Err() == nil {
+		if choice == nil || time.Now().After(g.expires) {
+			if choice != nil {
+				choice.Release()
+			}
+			return g.errored("expired"), true
+		}
+		g.runs++
+		err := g.attempt(ctx, choice)
+		choice.Release()
+		if err == nil {
+			return g.score(ctx)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if g.judge(choice, err) {
+			return g.errored(err.Error()), true
+		}
+		g.avoid = choice.Server.Name
+		choice, _ = g.pick(ctx)
+	}
+	return Result{}, false
+}
+
+// judge decides what follows from a failed attempt; true ends the item.
+func (g *generation) judge(choice *pool.Choice, err error) bool {
+	now := time.Now()
+	if failed, ok := errors.AsType[*FailedRunError](err); ok {
+		g.fails++
+		g.note(choice, err)
+		return failed.Final || g.fails >= g.batch.Attempts
+	}
+	if notRun, ok := errors.AsType[*forward.NotRunError](err); ok {
+		if notRun.Load != nil {
+			choice.Reported(now, *notRun.Load)
+		}
+		if notRun.Down {
+			choice.Failed(now)
+			g.note(choice, err)
+		} else {
+			choice.Refused(now)
+		}
+		return false
+	}
+	g.note(choice, err)
+	if isError[*staleError](err) {
+		if g.batch.Single {
+			g.texts, g.versions = nil, nil
+		}
+		return false
+	}
+	choice.Failed(now)
+	return false
+}
+
+func (g *generation) note(choice *pool.Choice, err error) {
+	g.Log.Emit(event.GenerationBroken, "item", g.item.ID, "batch", g.batch.ID, "server", choice.Server.Name,
+		"events", len(g.texts), "run", g.runs, "fails", g.fails, "err", err.Error())
+}
+
+// attempt runs the item on one engine, from the text so far.
+func (g *generation) attempt(ctx context.Context, choice *pool.Choice) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(firstStall, cancel)
+	defer silence.Stop()
+	stream, err := g.Engine.Generate(ctx, choice.Server, forward.Request{
+		ID: g.item.ID, Host: g.batch.Host, Method: "POST", Target: g.item.Target, Header: g.item.Header,
+		Body: g.item.Body, Workspace: g.batch.Workspace, Urgency: -1, Resume: len(g.texts),
+	})
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	var version uint64
+	for {
+		next, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			choice.Succeeded()
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		silence.Reset(stall)
+		if next.Version > 0 {
+			version = next.Version
+			choice.Version(g.batch.Model, version)
+		}
+		if next.Number == 0 {
+			continue // the start of the answer, which names the weights
+		}
+		if next.Number != len(g.texts)+1 {
+			return &forward.BrokenError{Reason: "events out of order"}
+		}
+		if version < g.batch.Floor || g.batch.Single && len(g.versions) > 0 && g.versions[0] != version {
+			return &staleError{version: version}
+		}
+		g.texts = append(g.texts, next.Text)
+		if at, found := slices.BinarySearch(g.versions, version); !found {
+			g.versions = slices.Insert(g.versions, at, version)
+		}
+	}
+}
+
+// score calls the item's scorer until it answers, or has failed too often.
+func (g *generation) score(ctx context.Context) (Result, bool) {
+	result := Result{ID: g.item.ID, State: Completed, Text: strings.Join(g.texts, "\n"), Versions: g.versions}
+	if g.item.Scorer == nil {
+		return result, true
+	}
+	fails := 0
+	for ctx.Err() == nil {
+		score, err := g.Scores.Score(ctx, *g.item.Scorer)
+		if err == nil {
+			result.Score = score
+			return result, true
+		}
+		failed, ok := errors.AsType[*FailedScoreError](err)
+		if ok {
+			fails += failed.Fails
+		}
+		if ok && fails >= failed.Most || time.Now().After(g.expires) {
+			return g.errored("scorer: " + err.Error()), true
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(scoreAgain):
+		}
+	}
+	return Result{}, false
+}
+
+func (g *generation) errored(why string) Result {
+	g.Log.Emit(event.ItemErrored, "item", g.item.ID, "batch", g.batch.ID, "why", why, "runs", g.runs,
+		"fails", g.fails, "events", len(g.texts))
+	return Result{ID: g.item.ID, State: Errored}
+}
--- /dev/null
+++ b/internal/rollout/batch/objects.go
@@ -0,0 +1,176 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+)
+
+// Times of calls to the store.
+const (
+	callTimeout = 900 * time.Millisecond // the store answers in milliseconds, and in a quarter of a second when slow
+	callRetry   = 100 * time.Millisecond // pause after a call that failed
+)
+
+// partBytes bounds one object of a body or a log before its encoding: with
+// base64 and quotes it stays below the largest value of the store.
+const partBytes = 600 << 10
+
+// ledger reads and writes the objects of batches.
+type ledger struct {
+	store object.Store
+}
+
+func bodyKey(id string, part int) string      { return fmt.Sprintf("%s%s.%d", BodyPrefix, id, part) }
+func logKey(id string, chunk int) string      { return fmt.Sprintf("%s%s.%05d", LogPrefix, id, chunk) }
+func missing(err error) bool                  { return isError[*object.NotFoundError](err) }
+func conflicts(err error) bool                { return isError[*object.ConflictError](err) }
+func unsure(err error) bool                   { return isError[*object.UnknownError](err) }
+func isError[E error](err error) bool         { _, ok := errors.AsType[E](err); return ok }
+func encode[T any](value T) ([]byte, error)   { return json.Marshal(value) }
+func decode[T any](raw []byte) (v T, _ error) { err := json.Unmarshal(raw, &v); return v, err }
+
+func (l ledger) get(ctx context.Context, key string) (object.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return l.store.Get(ctx, key)
+}
+
+func (l ledger) put(ctx context.Context, key string, value []byte, expect uint64) (object.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return l.store.Put(ctx, key, value, expect)
+}
+
+// split encodes a value into parts that the store takes. Each part is a JSON
+// string of bytes.
+func split[T any](value T) ([][]byte, error) {
+	raw, err := encode(value)
+	if err != nil {
+		return nil, err
+	}
+	var parts [][]byte
+	for len(raw) > 0 {
+		n := min(len(raw), partBytes)
+		part, err := encode(raw[:n])
+		if err != nil {
+			return nil, err
+		}
+		parts = append(parts, part)
+		raw = raw[n:]
+	}
+	return parts, nil
+}
+
+// writeBody writes the parts of a body. A part that stands already comes from
+// an earlier try with the same batch.
+func (l ledger) writeBody(ctx context.Context, id string, parts [][]byte) error {
+	for i, part := range parts {
+		if err := l.create(ctx, bodyKey(id, i), part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// create brings an object into being unless one stands there already. It goes
+// on while the outcome of its write is unknown.
+func (l ledger) create(ctx context.Context, key string, value []byte) error {
+	for {
+		_, err := l.put(ctx, key, value, 0)
+		if err == nil || conflicts(err) {
+			return nil
+		}
+		if !unsure(err) || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+func (l ledger) body(ctx context.Context, id string, parts int) (Batch, error) {
+	var raw []byte
+	for i := range parts {
+		found, err := l.get(ctx, bodyKey(id, i))
+		if err != nil {
+			return Batch{}, err
+		}
+		part, err := decode[[]byte](found.Value)
+		if err != nil {
+			return Batch{}, err
+		}
+		raw = append(raw, part...)
+	}
+	return decode[Batch](raw)
+}
+
+// record reads a batch's record and its version.
+func (l ledger) record(ctx context.Context, id string) (Record, uint64, error) {
+	found, err := l.get(ctx, RecordPrefix+id)
+	if err != nil {
+		return Record{}, 0, err
+	}
+	record, err := decode[Record](found.Value)
+	return record, found.Version, err
+}
+
+// change applies a change to a record until it stands or turns out needless:
+// apply returns false when nothing is to be done. The record as it stands is
+// returned with its version.
+func (l ledger) change(ctx context.Context, id string, apply func(*Record) bool) (Record, uint64, error) {
+	for {
+		record, version, err := l.record(ctx, id)
+		if err != nil {
+			return Record{}, 0, err
+		}
+		if !apply(&record) {
+			return record, version, nil
+		}
+		value, err := encode(record)
+		if err != nil {
+			return Record{}, 0, err
+		}
+		stored, err := l.put(ctx, RecordPrefix+id, value, version)
+		if err == nil {
+			return record, stored.Version, nil
+		}
+		if !conflicts(err) && !unsure(err) || ctx.Err() != nil {
+			return Record{}, 0, err
+		}
+	}
+}
+
+// chunk reads one object of a batch's log.
+func (l ledger) chunk(ctx context.Context, id string, n int) ([]Result, error) {
+	found, err := l.get(ctx, logKey(id, n))
+	if err != nil {
+		return nil, err
+	}
+	return decode[[]Result](found.Value)
+}
+
+// log reads a batch's log from a chunk on.
+func (l ledger) log(ctx context.Context, id string, from int) ([][]Result, error) {
+	var chunks [][]Result
+	for {
+		results, err := l.chunk(ctx, id, from+len(chunks))
+		if missing(err) {
+			return chunks, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		chunks = append(chunks, results)
+	}
+}
+
+// retry waits before a call is made again.
+func retry(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(callRetry):
+	}
+}
--- /dev/null
+++ b/internal/rollout/batch/queries.go
@@ -0,0 +1,167 @@
+package batch
+
+import (
+	"context"
+	"time"
+)
+
+// pageBytes bounds the text of a page; the protocol of trainers allows 1 MB.
+const pageBytes = 700 << 10
+
+// peerMargin is the time beyond a reader's wait that an owner may take.
+const peerMargin = 700 * time.Millisecond
+
+// ownerless is how often a batch is looked up in the store while its owner does
+// not answer and a reader waits.
+const ownerless = 400 * time.Millisecond
+
+// Read returns results from a position on, and waits up to wait for the first.
+// The error is a *NotFoundError or an *UnavailableError.
+func (b *Book) Read(ctx context.Context, id, workspace string, after int, wait time.Duration) (Page, error) {
+	end := time.Now().Add(wait)
+	for {
+		record, err := b.find(ctx, id, workspace)
+		if err != nil {
+			return Page{}, err
+		}
+		left := max(0, time.Until(end))
+		if page, ok := b.fromOwner(ctx, record, ReadRequest{ID: id, After: after, Wait: left}); ok {
+			return page, nil
+		}
+		page, err := b.fromStore(ctx, id, record, after)
+		if err != nil || len(page.Results) > 0 || left == 0 || record.Ended {
+			return page, err
+		}
+		select {
+		case <-ctx.Done():
+			return page, nil
+		case <-time.After(min(left, ownerless)):
+		}
+	}
+}
+
+// find returns the record of a workspace's batch, from the store when the watch
+// has not brought it yet.
+func (b *Book) find(ctx context.Context, id, workspace string) (Record, error) {
+	k, ok := b.lookup(id)
+	if !ok {
+		record, version, err := b.ledger().record(ctx, id)
+		if missing(err) {
+			return Record{}, &NotFoundError{ID: id}
+		}
+		if err != nil {
+			return Record{}, &UnavailableError{Err: err, After: callRetry}
+		}
+		b.learn(id, record, version)
+		k = known{record, version}
+	}
+	if k.Workspace != workspace {
+		return Record{}, &NotFoundError{ID: id}
+	}
+	return k.Record, nil
+}
+
+// fromOwner reads from this host's own work or asks the owner.
+func (b *Book) fromOwner(ctx context.Context, record Record, request ReadRequest) (Page, bool) {
+	if w := b.work(request.ID); w != nil {
+		return w.read(ctx, request.After, request.Wait), true
+	}
+	if record.Ended || record.Owner == "" || record.Owner == b.Host {
+		return Page{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, request.Wait+peerMargin)
+	defer cancel()
+	reply, err := b.Peers.Read(ctx, record.Owner, request)
+	return reply.Page, err == nil && reply.Owned
+}
+
+// ServeRead answers another host.
+func (b *Book) ServeRead(ctx context.Context, request ReadRequest) ReadReply {
+	w := b.work(request.ID)
+	if w == nil {
+		return ReadReply{}
+	}
+	return ReadReply{Owned: true, Page: w.read(ctx, request.After, request.Wait)}
+}
+
+// fromStore reads the log. Chunks never change, so that those read before are
+// kept.
+func (b *Book) fromStore(ctx context.Context, id string, record Record, after int) (Page, error) {
+	b.mu.Lock()
+	list, from := b.logs[id], b.chunks[id]
+	b.mu.Unlock()
+	if len(list) <= after && len(list) < record.Total {
+		chunks, err := b.ledger().log(ctx, id, from)
+		if err != nil {
+			return Page{}, &UnavailableError{Err: err, After: callRetry}
+		}
+		for _, chunk := range chunks {
+			list = append(list, chunk...)
+		}
+		b.keep(id, list, from+len(chunks))
+	}
+	return page(list, record.Total, after), nil
+}
+
+func (b *Book) keep(id string, list []Result, chunks int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if chunks > b.chunks[id] && b.logs != nil {
+		b.logs[id], b.chunks[id] = list, chunks
+	}
+}
+
+func page(list []Result, total, after int) Page {
+	p := Page{Total: total, Next: after}
+	size := 0
+	for _, result := range list[min(after, len(list)):] {
+		size += len(result.Text)
+		if size > pageBytes && len(p.Results) > 0 {
+			break
+		}
+		p.Results = append(p.Results, result)
+	}
+	p.Next = after + len(p.Results)
+	return p
+}
+
+// Body returns the body of an item that is not listed yet.
+func (b *Book) Body(ctx context.Context, id, workspace, item string) ([]byte, error) {
+	record, err := b.find(ctx, id, workspace)
+	if err != nil {
+		return nil, err
+	}
+	request := BodyRequest{ID: id, Item: item}
+	reply := b.ServeBody(request)
+	if !reply.Owned && !record.Ended && record.Owner != "" && record.Owner != b.Host {
+		asking, cancel := context.WithTimeout(ctx, peerMargin)
+		reply, _ = b.Peers.Body(asking, record.Owner, request) // the store answers for an owner that does not
+		cancel()
+	}
+	if reply.Owned && reply.Found {
+		return reply.Body, nil
+	}
+	if reply.Owned {
+		return nil, &NotFoundError{ID: item}
+	}
+	batch, err := b.ledger().body(ctx, id, record.Parts)
+	if err != nil {
+		return nil, &UnavailableError{Err: err, After: callRetry}
+	}
+	for _, one := range batch.Items {
+		if one.ID == item {
+			return one.Body, nil
+		}
+	}
+	return nil, &NotFoundError{ID: item}
+}
+
+// ServeBody answers another host.
+func (b *Book) ServeBody(request BodyRequest) BodyReply {
+	w := b.work(request.ID)
+	if w == nil {
+		return BodyReply{}
+	}
+	body, found := w.body(request.Item)
+	return BodyReply{Owned: true, Found: found, Body: body}
+}
--- /dev/null
+++ b/internal/rollout/batch/takeover.go
@@ -0,0 +1,178 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+)
+
+// Times of the watch over owners. A step is due within seconds, so that a
+// failed owner has to be replaced in little more than one.
+const (
+	ownerPoll    = 400 * time.Millisecond
+	ownerTimeout = 500 * time.Millisecond
+	ownerMisses  = 3 // pings in a row without an answer from a healthy owner
+	// rankMisses is the number of further misses that each later rank waits, so
+	// that one host at a time tries.
+	rankMisses = 3
+	// watchRanks is the number of hosts that watch over one owner.
+	watchRanks = 3
+	// leaveRunning is how long a stopping host lets generations finish before it
+	// hands its batches on.
+	leaveRunning = 1500 * time.Millisecond
+)
+
+// watchOwners takes over batches whose owners fail (rule 4).
+func (b *Book) watchOwners(ctx context.Context) {
+	ticker := time.NewTicker(ownerPoll)
+	defer ticker.Stop()
+	misses := map[string]int{} // by owner
+	complete := map[string]bool{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		open := b.orphans(complete)
+		b.pingOwners(ctx, open, misses)
+		for id, k := range open {
+			if b.mayTake(id, k, misses) {
+				complete[id] = b.takeOver(ctx, id, k)
+			}
+		}
+	}
+}
+
+// orphans returns the open batches that this host does not run.
+func (b *Book) orphans(complete map[string]bool) map[string]known {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	open := map[string]known{}
+	if b.leaving {
+		return open
+	}
+	for id, k := range b.known {
+		if !k.Ended && b.works[id] == nil && !complete[id] {
+			open[id] = k
+		}
+	}
+	return open
+}
+
+// pingOwners counts the misses of each owner that this host has to watch.
+func (b *Book) pingOwners(ctx context.Context, open map[string]known, misses map[string]int) {
+	asked := map[string]bool{}
+	for id, k := range open {
+		if k.Owner == "" || k.Owner == b.Host || asked[k.Owner] || b.Peers.Rank(id, k.Owner) >= watchRanks {
+			continue
+		}
+		asked[k.Owner] = true
+		pinging, cancel := context.WithTimeout(ctx, ownerTimeout)
+		incarnation, healthy := b.Peers.Ping(pinging, k.Owner)
+		cancel()
+		if healthy && incarnation == k.Incarnation {
+			misses[k.Owner] = 0
+		} else {
+			misses[k.Owner]++
+		}
+	}
+	for owner := range misses {
+		if !asked[owner] {
+			delete(misses, owner)
+		}
+	}
+}
+
+// mayTake says whether this host is next in line for a batch now.
+func (b *Book) mayTake(id string, k known, misses map[string]int) bool {
+	if !b.Reaches() {
+		return false
+	}
+	if k.Owner == b.Host {
+		return true // of this host's life before its restart
+	}
+	rank := b.Peers.Rank(id, k.Owner, k.Last)
+	if k.Owner == "" {
+		return rank == 0
+	}
+	return misses[k.Owner] >= ownerMisses+rank*rankMisses
+}
+
+// takeOver makes this host the owner and goes on with what is not listed. It
+// returns true when all is listed.
+func (b *Book) takeOver(ctx context.Context, id string, k known) bool {
+	chunks, err := b.ledger().log(ctx, id, 0)
+	if err != nil {
+		return false
+	}
+	var log []Result
+	for _, chunk := range chunks {
+		log = append(log, chunk...)
+	}
+	if len(log) >= k.Total {
+		return true
+	}
+	batch, err := b.ledger().body(ctx, id, k.Parts)
+	if err != nil {
+		b.Log.Emit(event.BatchUnreadable, "batch", id, "err", err.Error())
+		return false
+	}
+	record, version, err := b.ledger().change(ctx, id, func(r *Record) bool {
+		if r.Ended || r.Epoch != k.Epoch {
+			return false
+		}
+		r.Last, r.Owner, r.Incarnation, r.Epoch = r.Owner, b.Host, b.Incarnation, r.Epoch+1
+		return true
+	})
+	if err != nil {
+		return false
+	}
+	b.learn(id, record, version)
+	if record.Owner == b.Host && record.Incarnation == b.Incarnation && !record.Ended {
+		b.Log.Emit(event.BatchTaken, "batch", id, "from", k.Owner, "epoch", record.Epoch, "listed", len(log))
+		b.begin(batch, record, log, len(chunks))
+	}
+	return false
+}
+
+// Leave hands the batches of this host on. It returns when the records say so
+// or the context ends.
+func (b *Book) Leave(ctx context.Context) {
+	b.mu.Lock()
+	b.leaving = true
+	open := len(b.works)
+	b.mu.Unlock()
+	if open == 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(leaveRunning):
+	}
+	for id := range b.running() {
+		record, version, err := b.ledger().change(ctx, id, func(r *Record) bool {
+			if r.Ended || r.Owner != b.Host || r.Incarnation != b.Incarnation {
+				return false
+			}
+			r.Last, r.Owner, r.Epoch = b.Host, "", r.Epoch+1
+			return true
+		})
+		if err != nil {
+			b.Log.Emit(event.BatchNoticeFailed, "batch", id, "err", err.Error())
+			continue
+		}
+		b.learn(id, record, version)
+	}
+}
+
+func (b *Book) running() map[string]*work {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := make(map[string]*work, len(b.works))
+	for id, w := range b.works {
+		all[id] = w
+	}
+	return all
+}
--- /dev/null
+++ b/internal/rollout/batch/work.go
@@ -0,0 +1,197 @@
+package batch
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+)
+
+// Bounds of an owner's work.
+const (
+	// gather is the time for which results are gathered before they are written.
+	// Trainers read twice a second, and each call to the store is billed.
+	gather = 150 * time.Millisecond
+	// chunkBytes bounds the text of one object of the log.
+	chunkBytes = 500 << 10
+	// running bounds the generations of one batch at once on a host; each holds
+	// a connection and some tens of kilobytes.
+	running = 512
+)
+
+// work is a batch that this host runs.
+type work struct {
+	*Book
+	batch   Batch
+	epoch   uint64
+	expires time.Time
+	cancel  context.CancelFunc
+
+	mu      sync.Mutex
+	list    []Result // as acknowledged by the store
+	chunks  int      // objects of the log
+	listed  map[string]bool
+	changed chan struct{} // closed when list grows
+	ready   chan Result   // ring from the generations to the log
+	places  chan struct{} // bounds the generations at once
+}
+
+func newWork(b *Book, batch Batch, record Record, log []Result, chunks int) *work {
+	w := &work{
+		Book: b, batch: batch, epoch: record.Epoch, list: log, chunks: chunks,
+		expires: time.UnixMilli(record.Submitted).Add(batch.Expiry),
+		listed:  make(map[string]bool, len(batch.Items)),
+		changed: make(chan struct{}),
+		ready:   make(chan Result, len(batch.Items)),
+		places:  make(chan struct{}, running),
+	}
+	for _, result := range log {
+		w.listed[result.ID] = true
+	}
+	return w
+}
+
+// run generates what is not listed yet and appends it to the log, until all is
+// listed or the context ends.
+func (w *work) run(ctx context.Context) {
+	var items sync.WaitGroup
+	defer items.Wait()
+	items.Go(func() {
+		w.dispatch(ctx, func(g *generation, choice *pool.Choice) {
+			items.Go(func() {
+				defer func() { <-w.places }()
+				if result, ok := g.run(ctx, choice); ok {
+					w.ready <- result
+				}
+			})
+		})
+	})
+	for w.left() > 0 {
+		results, ok := w.collect(ctx)
+		if !ok || !w.append(ctx, results) {
+			return
+		}
+	}
+	w.Log.Emit(event.BatchListed, "batch", w.batch.ID, "items", len(w.batch.Items), "chunks", w.chunks)
+}
+
+func (w *work) left() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.batch.Items) - len(w.listed)
+}
+
+// collect waits for a result and gathers those that follow soon.
+func (w *work) collect(ctx context.Context) ([]Result, bool) {
+	var results []Result
+	size := 0
+	var full <-chan time.Time
+	for {
+		select {
+		case result := <-w.ready:
+			results = append(results, result)
+			size += len(result.Text)
+			if full == nil {
+				full = time.After(gather)
+			}
+			if size >= chunkBytes || len(results) >= w.left() {
+				return results, true
+			}
+		case <-full:
+			return results, true
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
+// append writes results as the next object of the log (rule 2). It goes on
+// until they stand or the context ends.
+func (w *work) append(ctx context.Context, results []Result) bool {
+	for ctx.Err() == nil {
+		results = slices.DeleteFunc(results, func(r Result) bool { return w.isListed(r.ID) })
+		if len(results) == 0 {
+			return true
+		}
+		value, err := encode(results)
+		if err != nil {
+			w.Log.Emit(event.BatchWriteFailed, "batch", w.batch.ID, "err", err.Error())
+			return false
+		}
+		began := time.Now()
+		_, err = w.ledger().put(ctx, logKey(w.batch.ID, w.chunks), value, 0)
+		switch {
+		case err == nil:
+			w.publish(results)
+			return true
+		case conflicts(err):
+			w.merge(ctx)
+		default:
+			w.Log.Emit(event.BatchWriteFailed, "batch", w.batch.ID, "chunk", w.chunks,
+				"ms", time.Since(began).Milliseconds(), "err", err.Error())
+			retry(ctx)
+		}
+	}
+	return false
+}
+
+// merge takes in the object that stands where this owner wanted to write: its
+// own, when the answer was lost, or another owner's (rule 3).
+func (w *work) merge(ctx context.Context) {
+	results, err := w.ledger().chunk(ctx, w.batch.ID, w.chunks)
+	if err != nil {
+		retry(ctx)
+		return
+	}
+	w.publish(results)
+}
+
+func (w *work) publish(results []Result) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.chunks++
+	w.list = append(w.list, results...)
+	for _, r := range results {
+		w.listed[r.ID] = true
+	}
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *work) isListed(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.listed[id]
+}
+
+// read returns results from a position on and waits for the first.
+func (w *work) read(ctx context.Context, after int, wait time.Duration) Page {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		w.mu.Lock()
+		p, changed := page(w.list, len(w.batch.Items), after), w.changed
+		w.mu.Unlock()
+		if len(p.Results) > 0 || after >= p.Total {
+			return p
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return p
+		case <-ctx.Done():
+			return p
+		}
+	}
+}
+
+func (w *work) body(item string) ([]byte, bool) {
+	at := slices.IndexFunc(w.batch.Items, func(i Item) bool { return i.ID == item })
+	if at < 0 || w.isListed(item) {
+		return nil, false
+	}
+	return w.batch.Items[at].Body, true
+}
--- a/internal/rollout/weights/planner.go
+++ b/internal/rollout/weights/planner.go
@@ -223,3 +223,9 @@
 
 // Loading returns the number of loads in progress.
 func (p *Planner) Loading() int { return len(p.loads) }
+
+// IsLoading says whether an engine has a load in progress.
+func (p *Planner) IsLoading(name string) bool {
+	_, loading := p.loads[name]
+	return loading
+}
--- a/internal/site/event/entry.go
+++ b/internal/site/event/entry.go
@@ -7,6 +7,7 @@
 	AnswerDropped
 	PoisonConvicted
 	RequestShed
+	RequestEnded
 )
 
 func entryEvents() []Entry {
@@ -16,5 +17,6 @@
 		{AnswerDropped, Warning, "answer of a backend server dropped", "The answer was late, crossed, short, or failed its digest.", "Look at the named backend server when this repeats."},
 		{PoisonConvicted, Warning, "request convicted of crashing backend servers", "Two backend servers crashed while they ran it, the second time alone.", "Tell the caller; the conviction expires by itself."},
 		{RequestShed, Info, "request shed", "Its deadline could not be met, or a queue was full.", "Raise the limit or the capacity when this lasts."},
+		{RequestEnded, Info, "request took more than one send, or failed", "The named servers refused, broke off or were slow.", "Look at the servers when this repeats."},
 	}
 }
--- a/internal/site/event/rollout.go
+++ b/internal/site/event/rollout.go
@@ -13,6 +13,17 @@
 	WeightsOrdered
 	ReclaimNoticed
 	CapacityWanted
+	BatchStarted
+	BatchListed
+	BatchDropped
+	BatchTaken
+	BatchUnreadable
+	BatchNoticeFailed
+	BatchWriteFailed
+	GenerationBroken
+	ItemErrored
+	BatchRefused
+	ReleaseSeen
 )
 
 func rolloutEvents() []Entry {
@@ -28,5 +39,16 @@
 		{WeightsOrdered, Info, "engine ordered to load weights", "A newer release is in the weight store.", "Nothing."},
 		{ReclaimNoticed, Info, "backend server to be reclaimed", "The platform takes a spot server back.", "Nothing."},
 		{CapacityWanted, Info, "wanted capacity changed", "Demand, deadlines or prices changed.", "Nothing."},
+		{BatchStarted, Info, "batch started here", "It was accepted here, or taken over.", "Nothing."},
+		{BatchListed, Info, "batch whole", "Every result stands in the store.", "Nothing."},
+		{BatchDropped, Info, "batch no longer run here", "It has ended, or another host owns it.", "Nothing."},
+		{BatchTaken, Warning, "batch taken over", "Its owner did not answer, could not reach the store, or has restarted.", "Look at the owner when it is not a planned stop."},
+		{BatchUnreadable, Error, "object of a batch unreadable", "The object is not one that this version writes, or the store could not be read.", "Compare the versions of the hosts."},
+		{BatchNoticeFailed, Info, "owner of a batch not told", "The owner or the store does not answer; the watch brings the news later.", "Nothing."},
+		{BatchWriteFailed, Warning, "results not written yet", "The store refused the write or its answer was lost; it is tried again.", "Look at the store when it lasts."},
+		{GenerationBroken, Info, "generation broken off", "The engine failed, fell silent or holds other weights; the item goes on elsewhere.", "Look at the named engine when this repeats."},
+		{ItemErrored, Warning, "item given up", "It failed as often as its route allows, or its time ran out.", "Look at the earlier lines of the item."},
+		{BatchRefused, Info, "batch not accepted", "The store did not take it; the caller was told when to come back.", "Look at the store when this repeats."},
+		{ReleaseSeen, Info, "release named", "A trainer named new weights.", "Nothing."},
 	}
 }
