--- a/internal/host/node/learn.go
+++ b/internal/host/node/learn.go
@@ -86,8 +86,7 @@
 		if held {
 			following, cancel := context.WithCancel(ctx)
 			stop = cancel
-			follower := object.Follower{Reader: n.Outside.Watcher(listWait), Prefix: prefix, Now: clock, Handle: handle}
-			go follower.Run(following)
+			go n.follower(listWait, prefix, handle).Run(following)
 		}
 	})
 	stop()
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/hyssopwall/hyssopwall/internal/rollout/batch"
 	"github.com/hyssopwall/hyssopwall/internal/rollout/release"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
+	"github.com/hyssopwall/hyssopwall/internal/site/meter"
 	"github.com/hyssopwall/hyssopwall/internal/site/policy"
 )
 
@@ -40,6 +41,8 @@
 	Turns time.Duration
 	// Window is the length of a usage window.
 	Window time.Duration
+	// Metrics is the address at which counters are shown.
+	Metrics string
 	// Grace is the time that a planned stop may take.
 	Grace time.Duration
 }
@@ -57,7 +60,7 @@
 type Outside struct {
 	Store object.Store
 	// Watcher returns a reader whose watches wait up to a time.
-	Watcher func(wait time.Duration) object.Reader
+	Watcher func(wait time.Duration) object.Store
 	Keys    Keys
 	Policy  func(value []byte) (*policy.Policy, error)
 	Server  func(name string, value []byte) (pool.Server, error)
@@ -123,7 +126,9 @@
 	Book      *batch.Book
 	Tally     *tally.Tally
 	Directory *peer.Directory
+	Meter     *meter.Meter
 
+	store    object.Store
 	holder   *lease.Holder
 	reporter *tally.Reporter
 	roller   *release.Roller
@@ -142,6 +147,8 @@
 // New assembles a host.
 func New(settings Settings, outside Outside, log event.Log) *Node {
 	n := &Node{Settings: settings, Outside: outside, Log: log, Incarnation: uint64(time.Now().UnixNano()), done: make(chan struct{}), retired: map[string]bool{}}
+	n.Meter = meter.New()
+	n.store = &object.Monitor{Store: outside.Store, Log: log, Vars: n.Meter}
 	n.Pool = &pool.Pool{Zone: settings.Zone}
 	n.Tally = &tally.Tally{Window: settings.Window}
 	n.Directory = &peer.Directory{Self: peer.Host{
@@ -152,7 +159,7 @@
 		Ran: func(workspace string) { n.Tally.Count(time.Now(), workspace) },
 	}
 	n.Book = &batch.Book{
-		Host: settings.Host, Incarnation: n.Incarnation, Store: outside.Store, Peers: peers{n.Directory},
+		Host: settings.Host, Incarnation: n.Incarnation, Store: n.store, Peers: peers{n.Directory},
 		Pool: n.Pool, Engine: outside.Engine, Scores: scores{n}, Policy: n.Policy,
 		Reaches: func() bool { return n.age() < reachAge }, Log: log,
 	}
@@ -162,11 +169,11 @@
 
 func (n *Node) duties() {
 	n.holder = &lease.Holder{
-		Host: n.Settings.Host, Incarnation: n.Incarnation, Store: n.Outside.Store, Clock: lease.Boot{},
+		Host: n.Settings.Host, Incarnation: n.Incarnation, Store: n.store, Clock: lease.Boot{},
 		Config: leaseTimes, Duties: []string{Duty}, Contend: n.contends, Log: n.Log,
 	}
 	n.reporter = &tally.Reporter{
-		Tally: n.Tally, Store: n.Outside.Store, Holder: n.holder, Duty: Duty,
+		Tally: n.Tally, Store: n.store, Holder: n.holder, Duty: Duty,
 		Hosts: n.others, Ask: n.askCounts, Report: n.Outside.Report, Log: n.Log,
 	}
 	n.roller = &release.Roller{
@@ -228,15 +235,14 @@
 func (n *Node) parts(ctx context.Context) []func() {
 	keys := n.Outside.Keys
 	follow := func(wait time.Duration, prefix string, handle func(object.Change)) func() {
-		f := object.Follower{Reader: n.Outside.Watcher(wait), Prefix: prefix, Now: clock, Handle: handle}
-		return func() { f.Run(ctx) }
+		return func() { n.follower(wait, prefix, handle).Run(ctx) }
 	}
 	return []func(){
 		follow(policyWait, keys.PolicyKind, n.learnPolicy),
 		follow(listWait, keys.Servers, n.learnServers),
 		follow(listWait, peer.Prefix, n.learnHosts),
 		follow(listWait, batch.RecordPrefix, n.Book.Learn),
-		func() { n.Directory.Register(ctx, n.Outside.Store) },
+		func() { n.Directory.Register(ctx, n.store) },
 		func() { n.Book.Run(ctx) },
 		func() { n.holder.Run(ctx) },
 		func() { n.reporter.Run(ctx) },
@@ -248,8 +254,14 @@
 	}
 }
 
+// follower returns a follower whose calls are counted by what it follows.
+func (n *Node) follower(wait time.Duration, prefix string, handle func(object.Change)) object.Follower {
+	reader := &object.Monitor{Store: n.Outside.Watcher(wait), Log: n.Log, Vars: n.Meter}
+	return object.Follower{Reader: reader, Prefix: prefix, Now: clock, Handle: handle}
+}
+
 type listeners struct {
-	front, ready, internal net.Listener
+	front, ready, internal, metrics net.Listener
 }
 
 func (n *Node) listen() (listeners, error) {
@@ -260,7 +272,7 @@
 	for _, one := range []struct {
 		to      *net.Listener
 		address string
-	}{{&l.front, n.Settings.Listen}, {&l.ready, n.Settings.Ready}, {&l.internal, n.Settings.Internal}} {
+	}{{&l.front, n.Settings.Listen}, {&l.ready, n.Settings.Ready}, {&l.internal, n.Settings.Internal}, {&l.metrics, n.Settings.Metrics}} {
 		if *one.to, err = net.Listen("tcp", one.address); err != nil {
 			return l, err
 		}
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -30,6 +30,8 @@
 	go func() { _ = front.Serve(l.front) }() // ends with Shutdown
 	go func() { _ = ready.Serve(l.ready) }() // ends with the process, as does the next
 	go func() { _ = internal.Serve(l.internal) }()
+	shown := &http.Server{Handler: http.HandlerFunc(n.showMetrics), ReadHeaderTimeout: headerTimeout}
+	go func() { _ = shown.Serve(l.metrics) }()
 	return front
 }
 
@@ -39,6 +41,12 @@
 	}
 }
 
+// showMetrics writes the counters as text.
+func (n *Node) showMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	n.Meter.Write(w)
+}
+
 // countsRequest asks a host for its counts of a window.
 type countsRequest struct {
 	Window int64 `cbor:"1,keyasint"`
--- a/internal/platform/object/monitor.go
+++ b/internal/platform/object/monitor.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"expvar"
+	"strings"
 	"sync"
 
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
@@ -15,53 +15,61 @@
 type Monitor struct {
 	Store Store
 	Log   event.Log
-	// Vars receives the number of calls as "platform.CALL" and that of failed
-	// ones as "platform.CALL.failed".
-	Vars *expvar.Map
+	// Vars receives the number of calls as "platform.CALL", that of calls for a
+	// kind of object as "platform.CALL.KIND" and that of failed ones as
+	// "platform.CALL.failed".
+	Vars Counter
 
 	mu   sync.Mutex
 	lost bool
 }
 
+// Counter counts by name; an *expvar.Map is one.
+type Counter interface {
+	Add(name string, delta int64)
+}
+
 // Get implements Reader.
 func (m *Monitor) Get(ctx context.Context, key string) (Object, error) {
 	found, err := m.Store.Get(ctx, key)
-	m.note("get", err)
+	m.note("get", key, err)
 	return found, err
 }
 
 // List implements Reader.
 func (m *Monitor) List(ctx context.Context, prefix string) (Batch, error) {
 	batch, err := m.Store.List(ctx, prefix)
-	m.note("list", err)
+	m.note("list", prefix, err)
 	return batch, err
 }
 
 // Watch implements Reader.
 func (m *Monitor) Watch(ctx context.Context, prefix string, after uint64) (Batch, error) {
 	batch, err := m.Store.Watch(ctx, prefix, after)
-	m.note("watch", err)
+	m.note("watch", prefix, err)
 	return batch, err
 }
 
 // Put implements Writer.
 func (m *Monitor) Put(ctx context.Context, key string, value []byte, expect uint64) (Object, error) {
 	stored, err := m.Store.Put(ctx, key, value, expect)
-	m.note("put", err)
+	m.note("put", key, err)
 	return stored, err
 }
 
 // Delete implements Writer.
 func (m *Monitor) Delete(ctx context.Context, key string, expect uint64) error {
 	err := m.Store.Delete(ctx, key, expect)
-	m.note("delete", err)
+	m.note("delete", key, err)
 	return err
 }
 
-func (m *Monitor) note(call string, err error) {
+func (m *Monitor) note(call, key string, err error) {
 	down := unreachable(err)
 	if m.Vars != nil {
+		kind, _, _ := strings.Cut(key, "/")
 		m.Vars.Add("platform."+call, 1)
+		m.Vars.Add("platform."+call+"."+kind, 1)
 	}
 	if m.Vars != nil && down {
 		m.Vars.Add("platform."+call+".failed", 1)
--- a/internal/rollout/batch/book.go
+++ b/internal/rollout/batch/book.go
@@ -179,9 +179,34 @@
 	}
 	delete(b.works, id)
 	w.cancel()
+	if record.Ended {
+		b.retire(id, w)
+	}
 	b.Log.Emit(event.BatchDropped, "batch", id, "ended", record.Ended, "owner", record.Owner, "epoch", record.Epoch)
 }
 
+// retire keeps the results of an ended batch for readers of other hosts, so
+// that they need not be read from the store, which bills each call.
+func (b *Book) retire(id string, w *work) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	b.logs[id], b.chunks[id] = w.list, w.chunks
+	time.AfterFunc(keepEnded, func() { b.release(id) })
+}
+
+// keepEnded is how long the results of an ended batch stay in memory; callers
+// may read them for two minutes after the batch was submitted.
+const keepEnded = 2 * time.Minute
+
+// release frees the results of a batch that others may still read from the
+// store.
+func (b *Book) release(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.logs, id)
+	delete(b.chunks, id)
+}
+
 func (b *Book) forget(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/rollout/batch/queries.go
+++ b/internal/rollout/batch/queries.go
@@ -66,7 +66,10 @@
 	if w := b.work(request.ID); w != nil {
 		return w.read(ctx, request.After, request.Wait), true
 	}
-	if record.Ended || record.Owner == "" || record.Owner == b.Host {
+	if page, ok := b.fromMemory(request, record.Total); ok {
+		return page, true
+	}
+	if record.Owner == "" || record.Owner == b.Host {
 		return Page{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, request.Wait+peerMargin)
@@ -75,13 +78,28 @@
 	return reply.Page, err == nil && reply.Owned
 }
 
+// fromMemory reads results that this host keeps of a batch that it does not
+// run, if it has them from the position on. For an ended batch it has them all.
+func (b *Book) fromMemory(request ReadRequest, total int) (Page, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list, ok := b.logs[request.ID]
+	k := b.known[request.ID]
+	whole := k.Ended && k.Owner == b.Host && k.Incarnation == b.Incarnation
+	if !ok || len(list) <= request.After && !whole {
+		return Page{}, false
+	}
+	return page(list, total, request.After), true
+}
+
 // ServeRead answers another host.
 func (b *Book) ServeRead(ctx context.Context, request ReadRequest) ReadReply {
-	w := b.work(request.ID)
-	if w == nil {
-		return ReadReply{}
+	if w := b.work(request.ID); w != nil {
+		return ReadReply{Owned: true, Page: w.read(ctx, request.After, request.Wait)}
 	}
-	return ReadReply{Owned: true, Page: w.read(ctx, request.After, request.Wait)}
+	k, _ := b.lookup(request.ID)
+	page, ok := b.fromMemory(request, k.Total)
+	return ReadReply{Owned: ok, Page: page}
 }
 
 // fromStore reads the log. Chunks never change, so that those read before are
--- a/internal/rollout/batch/work.go
+++ b/internal/rollout/batch/work.go
@@ -12,9 +12,11 @@
 
 // Bounds of an owner's work.
 const (
-	// gather is the time for which results are gathered before they are written.
-	// Trainers read twice a second, and each call to the store is billed.
-	gather = 150 * time.Millisecond
+	// spacing is the least time between two writes of a batch's results. Trainers
+	// read twice a second, and each call to the store is billed.
+	spacing = 400 * time.Millisecond
+	// leastGather lets results that end together be written together.
+	leastGather = 30 * time.Millisecond
 	// chunkBytes bounds the text of one object of the log.
 	chunkBytes = 500 << 10
 	// running bounds the generations of one batch at once on a host; each holds
@@ -30,6 +32,8 @@
 	expires time.Time
 	cancel  context.CancelFunc
 
+	wrote time.Time // end of the latest write; owned by run
+
 	mu      sync.Mutex
 	list    []Result // as acknowledged by the store
 	chunks  int      // objects of the log
@@ -84,18 +88,20 @@
 	return len(w.batch.Items) - len(w.listed)
 }
 
-// collect waits for a result and gathers those that follow soon.
+// collect waits for a result, and gathers others until the next write may be
+// made.
 func (w *work) collect(ctx context.Context) ([]Result, bool) {
 	var results []Result
 	size := 0
 	var full <-chan time.Time
+	next := w.wrote.Add(spacing)
 	for {
 		select {
 		case result := <-w.ready:
 			results = append(results, result)
 			size += len(result.Text)
 			if full == nil {
-				full = time.After(gather)
+				full = time.After(max(leastGather, time.Until(next)))
 			}
 			if size >= chunkBytes || len(results) >= w.left() {
 				return results, true
@@ -125,6 +131,7 @@
 		_, err = w.ledger().put(ctx, logKey(w.batch.ID, w.chunks), value, 0)
 		switch {
 		case err == nil:
+			w.wrote = time.Now()
 			w.publish(results)
 			return true
 		case conflicts(err):
