--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -78,6 +78,9 @@
 	})
 	peer.Handle(mux, "read", n.Book.ServeRead)
 	peer.Handle(mux, "body", func(_ context.Context, r batch.BodyRequest) batch.BodyReply { return n.Book.ServeBody(r) })
+	peer.Handle(mux, "partials", func(_ context.Context, r batch.PartialsRequest) batch.PartialsReply {
+		return n.Book.ServePartials(r)
+	})
 	peer.Handle(mux, "end", func(_ context.Context, r endRequest) empty {
 		n.Book.Ended(r.ID)
 		return empty{}
@@ -98,6 +101,10 @@
 	return peer.Call[batch.BodyReply](ctx, p.Directory, host, "body", request)
 }
 
+func (p peers) Partials(ctx context.Context, host string, request batch.PartialsRequest) (batch.PartialsReply, error) {
+	return peer.Call[batch.PartialsReply](ctx, p.Directory, host, "partials", request)
+}
+
 func (p peers) End(ctx context.Context, host, id string) error {
 	_, err := peer.Call[empty](ctx, p.Directory, host, "end", endRequest{ID: id})
 	return err
--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -49,7 +49,7 @@
 }
 
 // Item is one generation of a batch. Prefix identifies the shared part of its
-// prompt.
+// prompt; Length is an estimate of the tokens to generate, zero for unknown.
 type Item struct {
 	ID     string      `json:"id"`
 	Target string      `json:"target"`
@@ -57,6 +57,7 @@
 	Body   []byte      `json:"body"`
 	Group  string      `json:"group,omitempty"`
 	Prefix string      `json:"prefix,omitempty"`
+	Length int         `json:"length,omitempty"`
 	Scorer *Scorer     `json:"scorer,omitempty"`
 }
 
@@ -102,6 +103,8 @@
 type Record struct {
 	Workspace   string `json:"workspace"`
 	Route       string `json:"route"`
+	Model       string `json:"model,omitempty"`
+	Floor       uint64 `json:"floor,omitempty"` // oldest weights that may generate
 	Total       int    `json:"total"`
 	Parts       int    `json:"parts"` // objects that hold the body
 	Submitted   int64  `json:"submitted"`
@@ -131,6 +134,13 @@
 	Score    string   `json:"score,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
+// Partial is the text of an item that was not finished when its batch ended.
+// Versions are the weights that generated it.
+type Partial struct {
+	Texts    []string `cbor:"1,keyasint"`
+	Versions []uint64 `cbor:"2,keyasint"`
+}
+
 // Page is a part of a batch's results from a position on.
 type Page struct {
 	Total   int      `cbor:"1,keyasint"`
--- a/internal/rollout/batch/book.go
+++ b/internal/rollout/batch/book.go
@@ -60,6 +60,7 @@
 	Read(ctx context.Context, host string, request ReadRequest) (ReadReply, error)
 	Body(ctx context.Context, host string, request BodyRequest) (BodyReply, error)
 	End(ctx context.Context, host, id string) error
+	Partials(ctx context.Context, host string, request PartialsRequest) (PartialsReply, error)
 	// Ping says whether a host answers and reaches the store, and its
 	// incarnation.
 	Ping(ctx context.Context, host string) (incarnation uint64, healthy bool)
@@ -92,6 +93,16 @@
 	Body  []byte `cbor:"3,keyasint,omitempty"`
 }
 
+// PartialsRequest asks a host for what it has of items whose batches have ended.
+type PartialsRequest struct {
+	Items []string `cbor:"1,keyasint"`
+}
+
+// PartialsReply answers a PartialsRequest, by item.
+type PartialsReply struct {
+	Partials map[string]Partial `cbor:"1,keyasint,omitempty"`
+}
+
 // Book holds what a host knows of batches. Set the exported fields, then call
 // Run. It is safe for concurrent use.
 type Book struct {
@@ -107,14 +118,15 @@
 	Reaches func() bool
 	Log     event.Log
 
-	mu      sync.Mutex
-	ctx     context.Context
-	known   map[string]known
-	works   map[string]*work
-	logs    map[string][]Result // of batches that others run or ran, as read
-	chunks  map[string]int      // objects read of those
-	leaving bool
-	group   sync.WaitGroup
+	mu       sync.Mutex
+	ctx      context.Context
+	known    map[string]known
+	works    map[string]*work
+	logs     map[string][]Result // of batches that others run or ran, as read
+	chunks   map[string]int      // objects read of those
+	partials map[string]Partial  // of items whose batches have ended, by item
+	leaving  bool
+	group    sync.WaitGroup
 }
 
 // known is a record with its version in the store.
@@ -139,6 +151,7 @@
 		b.works = map[string]*work{}
 		b.logs = map[string][]Result{}
 		b.chunks = map[string]int{}
+		b.partials = map[string]Partial{}
 	}
 }
 
--- a/internal/rollout/batch/generate.go
+++ b/internal/rollout/batch/generate.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -49,9 +50,13 @@
 	runs     int
 }
 
-// dispatch starts the items in their order, each once an engine has a place.
+// dispatch starts the items, the longest first, each once an engine has a
+// place. A step takes as long as its longest items.
 func (w *work) dispatch(ctx context.Context, start func(*generation, *pool.Choice)) {
-	for _, item := range w.batch.Items {
+	carried := w.carried(ctx, w.batch)
+	items := slices.Clone(w.batch.Items)
+	slices.SortStableFunc(items, func(a, b Item) int { return cmp.Compare(b.Length, a.Length) })
+	for _, item := range items {
 		if w.isListed(item.ID) {
 			continue
 		}
@@ -60,7 +65,7 @@
 		case <-ctx.Done():
 			return
 		}
-		g := &generation{work: w, item: item}
+		g := &generation{work: w, item: item, texts: carried[item.ID].Texts, versions: carried[item.ID].Versions}
 		choice, ok := g.pick(ctx)
 		if !ok && ctx.Err() != nil {
 			return
@@ -99,6 +104,7 @@
 // run generates the item, beginning with a place that was picked. It returns
 // false when the context ended first.
 func (g *generation) run(ctx context.Context, choice *pool.Choice) (Result, bool) {
+	defer func() { g.leave(g.item.ID, Partial{Texts: g.texts, Versions: g.versions}) }()
 	for ctx.Err() == nil {
 		if choice == nil || time.Now().After(g.expires) {
 			if choice != nil {
--- a/internal/rollout/batch/work.go
+++ b/internal/rollout/batch/work.go
@@ -103,7 +103,7 @@
 			if full == nil {
 				full = time.After(max(leastGather, time.Until(next)))
 			}
-			if size >= chunkBytes || len(results) >= w.left() {
+			if size >= chunkBytes || len(results) >= w.left() || w.completes(results) {
 				return results, true
 			}
 		case <-full:
@@ -114,6 +114,31 @@
 	}
 }
 
+// completes says whether the results bring the groups that the trainer waits
+// for to their number, so that it need not wait for the next write.
+func (w *work) completes(results []Result) bool {
+	if w.batch.Want <= 0 {
+		return false
+	}
+	waiting := map[string]bool{}
+	for _, r := range results {
+		waiting[r.ID] = true
+	}
+	open, before := map[string]bool{}, map[string]bool{}
+	groups := map[string]bool{}
+	for _, item := range w.batch.Items {
+		groups[item.Group] = true
+		if w.isListed(item.ID) {
+			continue
+		}
+		before[item.Group] = true
+		if !waiting[item.ID] {
+			open[item.Group] = true
+		}
+	}
+	return len(groups)-len(before) < w.batch.Want && len(groups)-len(open) >= w.batch.Want
+}
+
 // append writes results as the next object of the log (rule 2). It goes on
 // until they stand or the context ends.
 func (w *work) append(ctx context.Context, results []Result) bool {
