--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -129,6 +129,7 @@
 	Meter     *meter.Meter
 
 	store    object.Store
+	health   peer.Health
 	holder   *lease.Holder
 	reporter *tally.Reporter
 	roller   *release.Roller
@@ -148,12 +149,12 @@
 func New(settings Settings, outside Outside, log event.Log) *Node {
 	n := &Node{Settings: settings, Outside: outside, Log: log, Incarnation: uint64(time.Now().UnixNano()), done: make(chan struct{}), retired: map[string]bool{}}
 	n.Meter = meter.New()
-	n.store = &object.Monitor{Store: outside.Store, Log: log, Vars: n.Meter}
 	n.Pool = &pool.Pool{Zone: settings.Zone}
 	n.Tally = &tally.Tally{Window: settings.Window}
 	n.Directory = &peer.Directory{Self: peer.Host{
 		Name: settings.Host, Zone: settings.Zone, Address: settings.Internal, Incarnation: n.Incarnation,
 	}}
+	n.store = n.reach(object.WatchWait)
 	n.Forwarder = &forward.Forwarder{
 		Pool: n.Pool, Sender: outside.Sender, Log: log,
 		Ran: func(workspace string) { n.Tally.Count(time.Now(), workspace) },
@@ -256,8 +257,17 @@
 
 // follower returns a follower whose calls are counted by what it follows.
 func (n *Node) follower(wait time.Duration, prefix string, handle func(object.Change)) object.Follower {
-	reader := &object.Monitor{Store: n.Outside.Watcher(wait), Log: n.Log, Vars: n.Meter}
-	return object.Follower{Reader: reader, Prefix: prefix, Now: clock, Handle: handle}
+	return object.Follower{Reader: n.reach(wait), Prefix: prefix, Now: clock, Handle: handle}
+}
+
+// reach returns the store, directly or through a peer, with a wait of its
+// watches. Calls are counted where they reach the store.
+func (n *Node) reach(wait time.Duration) object.Store {
+	return &peer.Relay{Direct: n.direct(wait), Directory: n.Directory, Wait: wait, Health: &n.health}
+}
+
+func (n *Node) direct(wait time.Duration) object.Store {
+	return &object.Monitor{Store: n.Outside.Watcher(wait), Log: n.Log, Vars: n.Meter}
 }
 
 type listeners struct {
--- a/internal/rollout/release/release.go
+++ b/internal/rollout/release/release.go
@@ -65,11 +65,12 @@
 	Duty    string
 	Log     event.Log
 
-	mu       sync.Mutex
-	newest   map[string]uint64 // by model
 	planners map[string]*weights.Planner
 	homes    map[string]string // model by engine
-	status   map[string]seen   // by engine
+
+	mu     sync.Mutex
+	newest map[string]uint64 // by model
+	status map[string]seen   // by engine
 }
 
 // seen is what an engine said, under one boot.
@@ -105,11 +106,17 @@
 		} else {
 			clear(r.planners)
 			clear(r.homes)
-			clear(r.status)
+			r.forget()
 		}
 	}
 }
 
+func (r *Roller) forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.status)
+}
+
 func (r *Roller) step(ctx context.Context) {
 	r.mu.Lock()
 	newest := make(map[string]uint64, len(r.newest))
@@ -164,13 +171,24 @@
 			Boot: strconv.FormatInt(s.Boot, 10), Slots: s.Slots,
 		})
 	}
-	for _, load := range planner.Plan(time.Now(), weightstore.Release{Model: model, Version: version, Rate: downloads}, engines) {
-		r.order(ctx, planner, load, byName[load.Engine])
+	loads := planner.Plan(time.Now(), weightstore.Release{Model: model, Version: version, Rate: downloads}, engines)
+	var group sync.WaitGroup
+	errs := make([]error, len(loads))
+	for i, load := range loads {
+		group.Go(func() { errs[i] = r.order(ctx, load, byName[load.Engine]) })
+	}
+	group.Wait()
+	for i, load := range loads {
+		if errs[i] != nil {
+			planner.Failed(load.Engine, time.Now())
+		}
 	}
 	r.ask(ctx, model, version, planner, byName)
 }
 
 func (r *Roller) said(s pool.Server) seen {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if known := r.status[s.Name]; known.boot == s.Boot {
 		return known
 	}
@@ -179,24 +197,35 @@
 
 // order gives one order. It names the orders that the engine has accepted so
 // far, so that an order that arrives late, after a newer one, has no effect.
-func (r *Roller) order(ctx context.Context, planner *weights.Planner, load weights.Load, server pool.Server) {
+func (r *Roller) order(ctx context.Context, load weights.Load, server pool.Server) error {
 	if r.said(server).at.IsZero() {
 		r.learn(ctx, server)
 	}
 	orders := r.said(server).Orders
 	err := r.Holder.Do(ctx, r.Duty, func(ctx context.Context, grant lease.Grant) error {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
 		return r.Engines.Load(ctx, server, load, orders, grant)
 	})
 	if err == nil {
-		known := r.said(server)
-		known.Orders++
-		r.status[server.Name] = known
+		r.accepted(server)
 		r.Log.Emit(event.WeightsOrdered, "server", server.Name, "model", load.Model, "version", load.Version, "orders", orders)
-		return
+		return nil
 	}
-	planner.Failed(load.Engine, time.Now())
 	r.Log.Emit(event.WeightsFailed, "server", server.Name, "model", load.Model, "version", load.Version, "orders", orders, "err", err.Error())
 	r.learn(ctx, server)
+	return err
+}
+
+// orderTimeout bounds an order, which an engine accepts at once or is down.
+const orderTimeout = 500 * time.Millisecond
+
+func (r *Roller) accepted(server pool.Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.status[server.Name]
+	known.Orders++
+	r.status[server.Name] = known
 }
 
 // ask looks at the engines that load, so that the next may start as soon as one
@@ -205,11 +234,17 @@
 	if planner.Loading() == 0 {
 		return
 	}
+	var group sync.WaitGroup
 	for name, server := range servers {
-		if !planner.IsLoading(name) || time.Since(r.said(server).at) < look {
+		if planner.IsLoading(name) && time.Since(r.said(server).at) >= look {
+			group.Go(func() { r.learn(ctx, server) })
+		}
+	}
+	group.Wait()
+	for name, server := range servers {
+		if !planner.IsLoading(name) {
 			continue
 		}
-		r.learn(ctx, server)
 		if known := r.said(server); known.Versions[model] >= version {
 			server.Versions = known.Versions
 			r.Pool.Put(server)
@@ -232,6 +267,8 @@
 		r.Log.Emit(event.WeightsFailed, "server", server.Name, "err", err.Error())
 	}
 	known.boot, known.at = server.Boot, time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.status[server.Name] = known
 }
 
