--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -78,9 +78,7 @@
 	})
 	peer.Handle(mux, "read", n.Book.ServeRead)
 	peer.Handle(mux, "body", func(_ context.Context, r batch.BodyRequest) batch.BodyReply { return n.Book.ServeBody(r) })
-	peer.Handle(mux, "partials", func(_ context.Context, r batch.PartialsRequest) batch.PartialsReply {
-		return n.Book.ServePartials(r)
-	})
+	peer.Handle(mux, "partials", n.Book.ServePartials)
 	peer.Handle(mux, "end", func(_ context.Context, r endRequest) empty {
 		n.Book.Ended(r.ID)
 		return empty{}
--- a/internal/rollout/batch/book.go
+++ b/internal/rollout/batch/book.go
@@ -93,9 +93,13 @@
 	Body  []byte `cbor:"3,keyasint,omitempty"`
 }
 
-// PartialsRequest asks a host for what it has of items whose batches have ended.
+// PartialsRequest asks a host for what it has of items that a later batch of
+// the same workspace and route holds again, and to run them no more.
 type PartialsRequest struct {
-	Items []string `cbor:"1,keyasint"`
+	Batch     string   `cbor:"1,keyasint"`
+	Workspace string   `cbor:"2,keyasint"`
+	Route     string   `cbor:"3,keyasint"`
+	Items     []string `cbor:"4,keyasint"`
 }
 
 // PartialsReply answers a PartialsRequest, by item.
--- a/internal/rollout/batch/carry.go
+++ b/internal/rollout/batch/carry.go
@@ -48,6 +48,57 @@
 	return p.Versions[len(p.Versions)-1]
 }
 
+// yield stops the generations of items for good and waits until their text is
+// kept.
+func (w *work) yield(ctx context.Context, items []string) {
+	var ends []chan struct{}
+	w.mu.Lock()
+	for _, item := range items {
+		if w.listed[item] || !w.holds[item] {
+			continue
+		}
+		w.yielded[item] = true
+		if run, ok := w.runs[item]; ok {
+			run.cancel()
+			ends = append(ends, run.done)
+		}
+	}
+	w.mu.Unlock()
+	for _, end := range ends {
+		select {
+		case <-end:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// itemRun is the generation of an item under way.
+type itemRun struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// enter registers the generation of an item, unless it was yielded. The
+// returned context ends with it; leave is called at its end.
+func (w *work) enter(ctx context.Context, item string) (running context.Context, leave func(), ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.yielded[item] {
+		return ctx, func() {}, false
+	}
+	running, cancel := context.WithCancel(ctx)
+	run := itemRun{cancel: cancel, done: make(chan struct{})}
+	w.runs[item] = run
+	return running, func() {
+		cancel()
+		w.mu.Lock()
+		delete(w.runs, item)
+		w.mu.Unlock()
+		close(run.done)
+	}, true
+}
+
 // usable says whether a batch may go on from the text.
 func (p Partial) usable(batch Batch) bool {
 	switch {
@@ -59,8 +110,14 @@
 	return p.Versions[0] >= batch.Floor
 }
 
-// ServePartials answers another host.
-func (b *Book) ServePartials(request PartialsRequest) PartialsReply {
+// ServePartials answers another host, or this one. Batches that run here give
+// up the items: the later batch runs them.
+func (b *Book) ServePartials(ctx context.Context, request PartialsRequest) PartialsReply {
+	for id, w := range b.running() {
+		if id != request.Batch && w.batch.Workspace == request.Workspace && w.batch.Route == request.Route {
+			w.yield(ctx, request.Items)
+		}
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	reply := PartialsReply{Partials: map[string]Partial{}}
@@ -75,7 +132,9 @@
 // carried returns the usable text of a batch's items from this host and from
 // the owners of the latest batches along the same route.
 func (b *Book) carried(ctx context.Context, batch Batch) map[string]Partial {
-	request := PartialsRequest{Items: make([]string, len(batch.Items))}
+	request := PartialsRequest{
+		Batch: batch.ID, Workspace: batch.Workspace, Route: batch.Route, Items: make([]string, len(batch.Items)),
+	}
 	for i, item := range batch.Items {
 		request.Items[i] = item.ID
 	}
@@ -87,9 +146,9 @@
 			}
 		}
 	}
-	add(b.ServePartials(request))
 	ctx, cancel := context.WithTimeout(ctx, partialsTimeout)
 	defer cancel()
+	add(b.ServePartials(ctx, request))
 	for _, host := range b.previousOwners(batch) {
 		reply, err := b.Peers.Partials(ctx, host, request)
 		if err != nil {
--- a/internal/rollout/batch/commands.go
+++ b/internal/rollout/batch/commands.go
@@ -109,8 +109,22 @@
 		"items", len(batch.Items), "listed", len(log), "epoch", record.Epoch, "floor", batch.Floor, "step", batch.Step)
 }
 
-// End ends a batch of a workspace. It returns once the record says so.
+// End ends a batch of a workspace. It returns once the record says so. The end
+// of a batch that could not be written now is written later, since its caller
+// may not come back: the error is then an *UnsureError.
 func (b *Book) End(ctx context.Context, id, workspace string) error {
+	err := b.end(ctx, id, workspace)
+	if err == nil || isError[*NotFoundError](err) {
+		return err
+	}
+	b.mu.Lock()
+	working := b.ctx
+	b.mu.Unlock()
+	b.group.Go(func() { b.endLater(working, id, workspace) })
+	return &UnsureError{Err: err}
+}
+
+func (b *Book) end(ctx context.Context, id, workspace string) error {
 	foreign := false
 	record, version, err := b.ledger().change(ctx, id, func(r *Record) bool {
 		foreign = r.Workspace != workspace
@@ -122,7 +136,7 @@
 	case foreign || missing(err):
 		return &NotFoundError{ID: id}
 	case err != nil:
-		return &UnavailableError{Err: err, After: comeBackStore}
+		return err
 	}
 	b.learn(id, record, version)
 	if record.Owner != b.Host {
@@ -131,6 +145,27 @@
 	return nil
 }
 
+// Times of an end that could not be written at once.
+const (
+	endRetry = 400 * time.Millisecond
+	endTries = 60 * time.Second // the longest trouble of the store that is bridged
+)
+
+func (b *Book) endLater(ctx context.Context, id, workspace string) {
+	ctx, cancel := context.WithTimeout(ctx, endTries)
+	defer cancel()
+	for ctx.Err() == nil {
+		err := b.end(ctx, id, workspace)
+		if err == nil || isError[*NotFoundError](err) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(endRetry):
+		}
+	}
+}
+
 // tell lets the owner of an ended batch know at once; its watch does so later.
 func (b *Book) tell(owner, id string) {
 	b.mu.Lock()
--- a/internal/rollout/batch/work.go
+++ b/internal/rollout/batch/work.go
@@ -39,8 +39,11 @@
 	chunks  int      // objects of the log
 	listed  map[string]bool
 	changed chan struct{} // closed when list grows
-	ready   chan Result   // ring from the generations to the log
-	places  chan struct{} // bounds the generations at once
+	holds   map[string]bool
+	runs    map[string]itemRun
+	yielded map[string]bool // items that a later batch runs
+	ready   chan Result     // ring from the generations to the log
+	places  chan struct{}   // bounds the generations at once
 }
 
 func newWork(b *Book, batch Batch, record Record, log []Result, chunks int) *work {
@@ -49,9 +52,15 @@
 		expires: time.UnixMilli(record.Submitted).Add(batch.Expiry),
 		listed:  make(map[string]bool, len(batch.Items)),
 		changed: make(chan struct{}),
+		holds:   make(map[string]bool, len(batch.Items)),
+		runs:    map[string]itemRun{},
+		yielded: map[string]bool{},
 		ready:   make(chan Result, len(batch.Items)),
 		places:  make(chan struct{}, running),
 	}
+	for _, item := range batch.Items {
+		w.holds[item.ID] = true
+	}
 	for _, result := range log {
 		w.listed[result.ID] = true
 	}
@@ -67,7 +76,15 @@
 		w.dispatch(ctx, func(g *generation, choice *pool.Choice) {
 			items.Go(func() {
 				defer func() { <-w.places }()
-				if result, ok := g.run(ctx, choice); ok {
+				running, leave, ok := w.enter(ctx, g.item.ID)
+				defer leave()
+				if !ok && choice != nil {
+					choice.Release()
+				}
+				if !ok {
+					return
+				}
+				if result, ok := g.run(running, choice); ok {
 					w.ready <- result
 				}
 			})
