Share engines among models by the square root of their work, half loading each release

Cause: each model got a third of the engines, though one generates a third of what the others do; and every engine loaded every release. Tried and left: long items that wait for the step's own weights (no gain: carried groups come back two steps later, with newer weights).

--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -178,7 +178,7 @@
 		Hosts: n.others, Ask: n.askCounts, Report: n.Outside.Report, Log: n.Log,
 	}
 	n.roller = &release.Roller{
-		Pool: n.Pool, Policy: n.Policy, Engines: n.Outside.Engines, Holder: n.holder, Duty: Duty, Log: n.Log,
+		Pool: n.Pool, Policy: n.Policy, Engines: n.Outside.Engines, Holder: n.holder, Duty: Duty, Demand: n.Book.Demand, Log: n.Log,
 	}
 }
 
--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -69,6 +69,15 @@
 	Body   []byte `json:"body"`
 }
 
+// Tokens returns the estimate of the tokens to generate.
+func (b Batch) Tokens() int {
+	sum := 0
+	for _, item := range b.Items {
+		sum += item.Length
+	}
+	return sum
+}
+
 // Check implements the check of decoded values.
 func (b Batch) Check() error {
 	seen := make(map[string]bool, len(b.Items))
@@ -105,6 +114,8 @@
 	Route       string `json:"route"`
 	Model       string `json:"model,omitempty"`
 	Floor       uint64 `json:"floor,omitempty"` // oldest weights that may generate
+	Step        int    `json:"step,omitempty"`
+	Tokens      int    `json:"tokens,omitempty"` // to generate, as estimated
 	Total       int    `json:"total"`
 	Parts       int    `json:"parts"` // objects that hold the body
 	Submitted   int64  `json:"submitted"`
@@ -134,11 +145,12 @@
 	Score    string   `json:"score,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
-// Partial is the text of an item that was not finished when its batch ended.
-// Versions are the weights that generated it.
+// Partial is the text of an item as far as it was generated, to its end when
+// Whole is set. Versions are the weights that generated it.
 type Partial struct {
 	Texts    []string `cbor:"1,keyasint"`
 	Versions []uint64 `cbor:"2,keyasint"`
+	Whole    bool     `cbor:"3,keyasint,omitempty"`
 }
 
 // Page is a part of a batch's results from a position on.
--- a/internal/rollout/batch/commands.go
+++ b/internal/rollout/batch/commands.go
@@ -41,7 +41,7 @@
 		return &UnavailableError{Err: err, After: comeBackStore} // a body alone runs nothing
 	}
 	record := Record{
-		Workspace: batch.Workspace, Route: batch.Route, Model: batch.Model, Floor: batch.Floor, Total: len(batch.Items), Parts: len(parts),
+		Workspace: batch.Workspace, Route: batch.Route, Model: batch.Model, Floor: batch.Floor, Step: batch.Step, Tokens: batch.Tokens(), Total: len(batch.Items), Parts: len(parts),
 		Submitted: time.Now().UnixMilli(), Owner: b.Host, Incarnation: b.Incarnation, Epoch: 1,
 	}
 	return b.create(ctx, batch, record)
--- a/internal/rollout/batch/generate.go
+++ b/internal/rollout/batch/generate.go
@@ -45,6 +45,7 @@
 	item     Item
 	texts    []string // one for each event
 	versions []uint64 // ordered, without repeats
+	whole    bool
 	fails    int
 	avoid    string
 	runs     int
@@ -65,7 +66,12 @@
 		case <-ctx.Done():
 			return
 		}
-		g := &generation{work: w, item: item, texts: carried[item.ID].Texts, versions: carried[item.ID].Versions}
+		partial := carried[item.ID]
+		g := &generation{work: w, item: item, texts: partial.Texts, versions: partial.Versions, whole: partial.Whole}
+		if g.whole {
+			start(g, nil) // needs no engine any more
+			continue
+		}
 		choice, ok := g.pick(ctx)
 		if !ok && ctx.Err() != nil {
 			return
@@ -104,7 +110,10 @@
 // run generates the item, beginning with a place that was picked. It returns
 // false when the context ended first.
 func (g *generation) run(ctx context.Context, choice *pool.Choice) (Result, bool) {
-	defer func() { g.leave(g.item.ID, Partial{Texts: g.texts, Versions: g.versions}) }()
+	defer func() { g.leave(g.item.ID, Partial{Texts: g.texts, Versions: g.versions, Whole: g.whole}) }()
+	if g.whole {
+		return g.score(ctx)
+	}
 	for ctx.Err() == nil {
 		if choice == nil || time.Now().After(g.expires) {
 			if choice != nil {
@@ -116,6 +125,7 @@
 		err := g.attempt(ctx, choice)
 		choice.Release()
 		if err == nil {
+			g.whole = true
 			return g.score(ctx)
 		}
 		if ctx.Err() != nil {
--- a/internal/rollout/batch/queries.go
+++ b/internal/rollout/batch/queries.go
@@ -183,3 +183,33 @@
 	body, found := w.body(request.Item)
 	return BodyReply{Owned: true, Found: found, Body: body}
 }
+
+// Demand is what the latest batch of a model tells of the next ones. Lag is by
+// how many versions weights may be older than the newest, as far as it is known.
+type Demand struct {
+	Tokens int
+	Lag    uint64
+	Lagged bool
+}
+
+// Demand returns the demand for a model. Step k is submitted once version k is
+// named.
+func (b *Book) Demand(model string) Demand {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var latest known
+	for _, k := range b.known {
+		if k.Model == model && k.Submitted > latest.Submitted {
+			latest = k
+		}
+	}
+	demand := Demand{Tokens: latest.Tokens}
+	if step := uint64(max(0, latest.Step)); step >= firstRegularStep && step >= latest.Floor {
+		demand.Lag, demand.Lagged = step-latest.Floor, true
+	}
+	return demand
+}
+
+// firstRegularStep is the first step whose oldest version is not bounded by the
+// version that engines start with.
+const firstRegularStep = 3
--- a/internal/rollout/release/release.go
+++ b/internal/rollout/release/release.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -17,6 +18,7 @@
 	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/lease"
 	"github.com/hyssopwall/hyssopwall/internal/platform/weightstore"
+	"github.com/hyssopwall/hyssopwall/internal/rollout/batch"
 	"github.com/hyssopwall/hyssopwall/internal/rollout/weights"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
 	"github.com/hyssopwall/hyssopwall/internal/site/policy"
@@ -28,9 +30,15 @@
 	turn = 100 * time.Millisecond
 	// look is the pace of asking an engine that loads; each question is billed.
 	look = 250 * time.Millisecond
-	// servingShare of the slots is never loading at the same time: loads slow
-	// each other when more than about a fifth of the engines load.
-	servingShare = 0.77
+	// loadingShare of a model's slots may load at the same time: loads slow each
+	// other when more than about a fifth of the engines load.
+	loadingShare = 0.23
+	// loadingLeast is the number of engines of a model that may load at the same
+	// time however few there are.
+	loadingLeast = 2
+	// deferral is how long engines whose weights are still of use keep them after
+	// a release; the next one mostly comes before.
+	deferral = 10 * time.Second
 	// loadTimeout is several times a load; an order without effect is given again.
 	loadTimeout = 4 * time.Second
 	// loadBackoff is the first pause after a load that failed.
@@ -63,6 +71,7 @@
 	Engines Engines
 	Holder  *lease.Holder
 	Duty    string
+	Demand  func(model string) batch.Demand
 	Log     event.Log
 
 	planners map[string]*weights.Planner
@@ -70,7 +79,8 @@
 
 	mu     sync.Mutex
 	newest map[string]uint64 // by model
-	status map[string]seen   // by engine
+	since  map[string]time.Time
+	status map[string]seen // by engine
 }
 
 // seen is what an engine said, under one boot.
@@ -85,9 +95,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.newest == nil {
-		r.newest = map[string]uint64{}
+		r.newest, r.since = map[string]uint64{}, map[string]time.Time{}
+	}
+	if version > r.newest[model] {
+		r.newest[model], r.since[model] = version, time.Now()
 	}
-	r.newest[model] = max(r.newest[model], version)
 }
 
 // Run works until the context ends.
@@ -133,7 +145,7 @@
 			continue
 		}
 		servers := r.engines(service.Name)
-		r.homes = Homes(r.homes, servers, service.Models)
+		r.homes = Homes(r.homes, servers, r.shares(service.Models))
 		for _, model := range service.Models {
 			if newest[model] > 0 {
 				r.roll(ctx, model, newest[model], servers)
@@ -156,7 +168,7 @@
 func (r *Roller) roll(ctx context.Context, model string, version uint64, servers []pool.Server) {
 	planner := r.planners[model]
 	if planner == nil {
-		planner = &weights.Planner{Policy: weights.Policy{Floor: servingShare, LoadTimeout: loadTimeout, Backoff: loadBackoff}}
+		planner = &weights.Planner{Policy: weights.Policy{LoadTimeout: loadTimeout, Backoff: loadBackoff}}
 		r.planners[model] = planner
 	}
 	byName := map[string]pool.Server{}
@@ -171,6 +183,8 @@
 			Boot: strconv.FormatInt(s.Boot, 10), Slots: s.Slots,
 		})
 	}
+	planner.Policy.Floor = 1 - max(loadingShare, loadingLeast/float64(max(loadingLeast, len(engines)))) - rounding
+	r.postpone(model, version, planner, engines)
 	loads := planner.Plan(time.Now(), weightstore.Release{Model: model, Version: version, Rate: downloads}, engines)
 	var group sync.WaitGroup
 	errs := make([]error, len(loads))
@@ -186,6 +200,54 @@
 	r.ask(ctx, model, version, planner, byName)
 }
 
+// rounding keeps a share that is a whole number of engines from being cut down.
+const rounding = 0.001
+
+// postpone makes the planner pass over engines that need not load yet: by
+// default all engines load, but where trainers take samples of older weights,
+// half of the engines take each release and the others the next one. Loads hold
+// up what runs on an engine for about a second.
+func (r *Roller) postpone(model string, version uint64, planner *weights.Planner, engines []weights.Engine) {
+	demand := r.Demand(model)
+	r.mu.Lock()
+	late := time.Since(r.since[model]) > deferral
+	r.mu.Unlock()
+	if !demand.Lagged || demand.Lag == 0 || late {
+		return
+	}
+	for _, name := range Postponed(version, demand.Lag, planner.IsLoading, engines) {
+		for i := range engines {
+			if engines[i].Name == name {
+				engines[i].Version = version
+			}
+		}
+	}
+}
+
+// Postponed returns the engines that need not load a version yet: those whose
+// weights are of use for lag versions, beyond the half that loads each version.
+func Postponed(version, lag uint64, loading func(string) bool, engines []weights.Engine) []string {
+	fresh := 0
+	var older []weights.Engine
+	for _, e := range engines {
+		switch {
+		case e.Version >= version || loading(e.Name) || e.Version+lag < version:
+			fresh++
+		default:
+			older = append(older, e)
+		}
+	}
+	slices.SortFunc(older, func(a, b weights.Engine) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Name, b.Name))
+	})
+	half := (len(engines) + 1) / 2
+	var names []string
+	for _, e := range older[min(len(older), max(0, half-fresh)):] {
+		names = append(names, e.Name)
+	}
+	return names
+}
+
 func (r *Roller) said(s pool.Server) seen {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -272,20 +334,37 @@
 	r.status[server.Name] = known
 }
 
-// Homes gives each engine its home model, so that the models' shares differ by
-// one at most. An engine keeps the home that it has, or that its weights show,
-// as long as the shares allow it.
-func Homes(old map[string]string, servers []pool.Server, models []string) map[string]string {
+// Share is the weight of a model among those that share engines.
+type Share struct {
+	Model  string
+	Weight float64
+}
+
+// shares weighs models by the square root of the work of their steps: a step
+// takes as long as its longest generations, so that more engines help less than
+// in proportion.
+func (r *Roller) shares(models []string) []Share {
+	shares := make([]Share, len(models))
+	for i, model := range models {
+		shares[i] = Share{Model: model, Weight: math.Sqrt(float64(max(1, r.Demand(model).Tokens)))}
+	}
+	return shares
+}
+
+// Homes gives each engine its home model, so that the numbers of engines follow
+// the shares. An engine keeps the home that it has, or that its weights show,
+// unless its model has more than its number; a change costs a load.
+func Homes(old map[string]string, servers []pool.Server, shares []Share) map[string]string {
 	homes := make(map[string]string, len(servers))
+	wanted := numbers(len(servers), shares)
 	count := map[string]int{}
-	most := (len(servers) + len(models) - 1) / max(1, len(models))
 	var free []pool.Server
 	for _, s := range servers {
 		home := old[s.Name]
-		if !slices.Contains(models, home) {
-			home = shown(s, models)
+		if _, known := wanted[home]; !known {
+			home = shown(s, shares)
 		}
-		if home == "" || count[home] >= most {
+		if home == "" || count[home] >= wanted[home] {
 			free = append(free, s)
 			continue
 		}
@@ -293,20 +372,48 @@
 		count[home]++
 	}
 	for _, s := range free {
-		least := slices.MinFunc(models, func(a, b string) int { return cmp.Compare(count[a], count[b]) })
-		homes[s.Name] = least
-		count[least]++
+		most := slices.MaxFunc(shares, func(a, b Share) int {
+			return cmp.Compare(wanted[a.Model]-count[a.Model], wanted[b.Model]-count[b.Model])
+		})
+		homes[s.Name] = most.Model
+		count[most.Model]++
 	}
 	return homes
 }
 
+// leastEngines is the number of engines that a model gets at least, so that one
+// may fail or load.
+const leastEngines = 2
+
+// numbers splits n engines by the shares, largest remainders first, after each
+// model got leastEngines or an equal part of fewer.
+func numbers(n int, shares []Share) map[string]int {
+	wanted := make(map[string]int, len(shares))
+	total := 0.0
+	for _, s := range shares {
+		wanted[s.Model] = min(leastEngines, n/len(shares))
+		total += s.Weight
+	}
+	left := n
+	for _, count := range wanted {
+		left -= count
+	}
+	for ; left > 0; left-- {
+		most := slices.MaxFunc(shares, func(a, b Share) int {
+			return cmp.Compare(a.Weight/total*float64(n)-float64(wanted[a.Model]), b.Weight/total*float64(n)-float64(wanted[b.Model]))
+		})
+		wanted[most.Model]++
+	}
+	return wanted
+}
+
 // shown returns the model of which an engine holds the most versions beyond the
 // first, empty when it holds none.
-func shown(s pool.Server, models []string) string {
+func shown(s pool.Server, shares []Share) string {
 	best, most := "", uint64(1)
-	for _, model := range models {
-		if v := s.Versions[model]; v > most {
-			best, most = model, v
+	for _, share := range shares {
+		if v := s.Versions[share.Model]; v > most {
+			best, most = share.Model, v
 		}
 	}
 	return best
