Shorten the lease and let contenders ask the holder instead of the store

Cause: six seconds without a holder left engines without the weights of the next step, and contenders read the store twice a second.

--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -156,6 +156,17 @@
 	return rank
 }
 
+// First returns the first hosts in the order of Rank, this one included.
+func (d *Directory) First(key string, count int) []string {
+	hosts := d.Hosts()
+	slices.SortFunc(hosts, func(a, b Host) int { return cmp.Compare(score(key, b.Name), score(key, a.Name)) })
+	var names []string
+	for _, h := range hosts[:min(count, len(hosts))] {
+		names = append(names, h.Name)
+	}
+	return names
+}
+
 func score(key, host string) uint64 { return xxhash.Sum64String(key + "\x00" + host) }
 
 // UnreachableError says that a host did not answer a call.
--- a/internal/host/node/learn.go
+++ b/internal/host/node/learn.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/peer"
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
 )
@@ -72,6 +74,28 @@
 	})
 }
 
+// askHolder asks the other contenders whether they hold the duty.
+func (n *Node) askHolder(ctx context.Context) {
+	if _, held := n.holder.Held(Duty); held || n.Directory.Rank(Duty) >= contenders {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, holderTurn)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, host := range n.Directory.First(Duty, contenders+1) {
+		if host == n.Settings.Host {
+			continue
+		}
+		group.Go(func() {
+			reply, err := peer.Call[pingReply](ctx, n.Directory, host, "ping", empty{})
+			if err == nil && reply.Holds {
+				n.held.Store(int64(clock()))
+			}
+		})
+	}
+	group.Wait()
+}
+
 // followHeld follows a prefix while this host holds the duty.
 func (n *Node) followHeld(ctx context.Context, prefix string, handle func(object.Change)) {
 	stop := func() {}
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -103,15 +103,23 @@
 	leaveMargin = 700 * time.Millisecond
 )
 
-// The lease is short, since orders and reports wait for a successor.
+// The lease is short, since orders and reports wait for a successor, and engines
+// without new weights for the next step. A renewal takes a quarter of a second
+// while the store is slow.
 var leaseTimes = lease.Config{
-	Term: 2500 * time.Millisecond, Margin: 400 * time.Millisecond, Flight: 1200 * time.Millisecond,
-	Renew: 800 * time.Millisecond, Poll: 900 * time.Millisecond,
+	Term: 1700 * time.Millisecond, Margin: 250 * time.Millisecond, Flight: 700 * time.Millisecond,
+	Renew: 500 * time.Millisecond, Poll: 400 * time.Millisecond,
 }
 
-// contenders is the number of hosts that contend for a duty; each reads the
-// store once per poll.
-const contenders = 3
+const (
+	// contenders is the number of hosts that contend for a duty.
+	contenders = 3
+	// holderTurn is the pace of asking whether another host holds the duty. The
+	// store is read only while none says so, since it bills each call.
+	holderTurn = 300 * time.Millisecond
+	// holderSilence is how long no host has said so before this one contends.
+	holderSilence = 700 * time.Millisecond
+)
 
 // Node is a host. Create it with New.
 type Node struct {
@@ -138,6 +146,7 @@
 	leaving  atomic.Bool
 	stale    atomic.Bool
 	lost     atomic.Int64    // instant by clock at which the duty was last lost
+	held     atomic.Int64    // instant by clock at which another host said that it holds the duty
 	retired  map[string]bool // entries answered; owned by their follower
 	done     chan struct{}
 }
@@ -187,7 +196,8 @@
 func (n *Node) contends(string) bool {
 	now := clock()
 	settled := now-time.Duration(n.lost.Load()) > n.Settings.Turns
-	return settled && n.Directory.Rank(Duty) < contenders && n.Ready()
+	vacant := now-time.Duration(n.held.Load()) > holderSilence
+	return settled && vacant && n.Directory.Rank(Duty) < contenders && n.Ready()
 }
 
 // Policy returns the configuration in force, nil before the first.
@@ -249,6 +259,7 @@
 		func() { n.reporter.Run(ctx) },
 		func() { n.roller.Run(ctx) },
 		func() { n.watchDuty(ctx) },
+		func() { every(ctx, holderTurn, func() { n.askHolder(ctx) }) },
 		func() { n.followHeld(ctx, keys.Releases, n.learnReleases) },
 		func() { n.followHeld(ctx, keys.Retirements, n.learnRetirements(ctx)) },
 		func() { n.watchNews(ctx) },
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -65,13 +65,15 @@
 type pingReply struct {
 	Incarnation uint64 `cbor:"1,keyasint"`
 	Healthy     bool   `cbor:"2,keyasint"`
+	Holds       bool   `cbor:"3,keyasint"` // the duty
 }
 
 // internal serves the calls of other hosts.
 func (n *Node) internal() http.Handler {
 	mux := http.NewServeMux()
 	peer.Handle(mux, "ping", func(context.Context, empty) pingReply {
-		return pingReply{Incarnation: n.Incarnation, Healthy: n.age() < reachAge}
+		_, holds := n.holder.Held(Duty)
+		return pingReply{Incarnation: n.Incarnation, Healthy: n.age() < reachAge, Holds: holds}
 	})
 	peer.Handle(mux, "counts", func(_ context.Context, r countsRequest) countsReply {
 		return countsReply{Counts: n.Tally.Of(r.Window)}
