Choose engines by their pace and move generations from slow ones

Cause: the longest generation makes the step, and a third of the engines are slower by a third, some by three times for a while.

--- a/internal/backend/pool/commands.go
+++ b/internal/backend/pool/commands.go
@@ -71,6 +71,33 @@
 	c.change(func(e *entry) { e.reported, e.at, e.beside = load, now, e.mine })
 }
 
+// Paced takes in the time between two events of a generation.
+func (c *Choice) Paced(now time.Time, gap time.Duration) {
+	c.change(func(e *entry) {
+		if e.pace == 0 || now.Sub(e.paced) >= paceExpiry {
+			e.pace = gap
+		} else {
+			e.pace += time.Duration(paceGain * float64(gap-e.pace))
+		}
+		e.paced = now
+	})
+}
+
+// Faster says whether another server would take the request now and generates
+// faster than gap between events by at least the given factor.
+func (c *Choice) Faster(now time.Time, need Need, gap time.Duration, factor float64) bool {
+	p := c.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.servers {
+		fast := e.pace > 0 && now.Sub(e.paced) < paceExpiry && factor*float64(e.pace) < float64(gap)
+		if e.Name != c.Server.Name && fast && e.eligible(now, need) && e.load(now) < float64(e.slots()) {
+			return true
+		}
+	}
+	return false
+}
+
 // Succeeded ends the backoff of the server.
 func (c *Choice) Succeeded() {
 	c.change(func(e *entry) { e.fails = 0 })
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -12,7 +12,9 @@
 //     prefixWorth, so that requests that share a prompt meet at one server.
 //  4. Within a hair of the least load, a server of this host's zone is taken,
 //     since traffic between zones is billed.
-//  5. A server whose load reaches its slots plus the queue allowance is not
+//  5. A server whose generations are slower than the fastest one's counts as
+//     more loaded, the more so the longer the request is.
+//  6. A server whose load reaches its slots plus the queue allowance is not
 //     chosen: the caller waits or refuses.
 package pool
 
@@ -32,6 +34,10 @@
 	maxBackoff    = 3 * time.Second        // a crashed server is back after some seconds
 	assumedPrefix = 8 * time.Second        // for which a prefix that was sent counts as cached; about two steps
 	maxPrefixes   = 512                    // prefixes remembered per server
+	paceWorth     = 3                      // load per slot that a request of fullLength gains on a server twice as fast
+	fullLength    = 8000                   // tokens of a long generation, about six seconds of work
+	paceGain      = 0.3                    // weight of the newest measurement of a pace
+	paceExpiry    = 10 * time.Second       // age at which a pace says nothing of the present
 )
 
 // Server is a backend server as the platform lists it. Boot changes at each
@@ -60,6 +66,7 @@
 	Floor   uint64 // oldest usable weights
 	Prefix  string // identifies the shared start of the prompt, empty for none
 	Queue   int    // requests beyond the slots that may wait at the server
+	Length  int    // tokens to generate, as estimated; zero for plain requests
 	Avoid   []string
 }
 
@@ -82,6 +89,8 @@
 	fails    int
 	until    time.Time // end of the backoff
 	prefixes map[string]time.Time
+	pace     time.Duration // between events of generations, zero when unknown
+	paced    time.Time
 }
 
 // Choice is a place on a server. Release gives it back.
@@ -135,15 +144,16 @@
 	defer p.mu.Unlock()
 	var best *entry
 	var least float64
+	fastest := p.fastest(now, need.Service)
 	for _, e := range p.servers {
 		if !e.eligible(now, need) {
 			continue
 		}
 		load := e.load(now)
 		if load >= float64(e.slots()+need.Queue) {
-			continue // rule 5
+			continue // rule 6
 		}
-		cost := p.cost(now, e, load, need)
+		cost := p.cost(now, e, load, need) + e.slowness(now, fastest)*lengthWorth(need.Length)
 		if best == nil || cost < least || cost == least && e.Name < best.Name {
 			best, least = e, cost
 		}
@@ -167,6 +177,31 @@
 	return cost
 }
 
+// fastest returns the shortest pace of a service's servers, zero when none is
+// known.
+func (p *Pool) fastest(now time.Time, service string) time.Duration {
+	var least time.Duration
+	for _, e := range p.servers {
+		if e.Service == service && e.pace > 0 && now.Sub(e.paced) < paceExpiry && (least == 0 || e.pace < least) {
+			least = e.pace
+		}
+	}
+	return least
+}
+
+// slowness returns by how much a server's pace is above the fastest, as a share
+// of that.
+func (e *entry) slowness(now time.Time, fastest time.Duration) float64 {
+	if e.pace == 0 || fastest == 0 || now.Sub(e.paced) >= paceExpiry {
+		return 0
+	}
+	return float64(e.pace-fastest) / float64(fastest)
+}
+
+func lengthWorth(tokens int) float64 {
+	return paceWorth * min(1, float64(tokens)/fullLength)
+}
+
 func (e *entry) eligible(now time.Time, need Need) bool {
 	switch {
 	case e.Service != need.Service, e.Draining, now.Before(e.until):
--- a/internal/rollout/batch/generate.go
+++ b/internal/rollout/batch/generate.go
@@ -22,6 +22,11 @@
 	// stall is the longest gap between events: ten times the largest gap that
 	// trainers allow, well below a crashed engine's silence.
 	stall = 1500 * time.Millisecond
+	// moveFactor is how much faster another engine has to be for a move, which
+	// costs the reading of the prompt and the text so far: some milliseconds.
+	moveFactor = 1.6
+	// paceWindow is the number of events over which a pace is measured.
+	paceWindow = 5
 	// again is the pause before an item is offered to engines once more.
 	again = 40 * time.Millisecond
 	// scoreAgain is the pause before a scorer is called once more.
@@ -80,13 +85,17 @@
 	}
 }
 
+func (g *generation) need() pool.Need {
+	return pool.Need{
+		Service: g.batch.Service, Model: g.batch.Model, Floor: g.batch.Floor,
+		Prefix: g.item.Prefix, Queue: engineQueue, Length: g.item.Length,
+	}
+}
+
 // pick waits for a place on an engine until the item may be given up.
 func (g *generation) pick(ctx context.Context) (*pool.Choice, bool) {
 	for {
-		need := pool.Need{
-			Service: g.batch.Service, Model: g.batch.Model, Floor: g.batch.Floor,
-			Prefix: g.item.Prefix, Queue: engineQueue,
-		}
+		need := g.need()
 		if g.avoid != "" && g.Pool.Usable(need) > 1 {
 			need.Avoid = []string{g.avoid}
 		}
@@ -161,6 +170,9 @@
 		return false
 	}
 	g.note(choice, err)
+	if isError[*movedError](err) {
+		return false
+	}
 	if isError[*staleError](err) {
 		if g.batch.Single {
 			g.texts, g.versions = nil, nil
@@ -191,6 +203,7 @@
 	}
 	defer stream.Close()
 	var version uint64
+	pace := pacer{choice: choice}
 	for {
 		next, err := stream.Next()
 		if errors.Is(err, io.EOF) {
@@ -218,7 +231,42 @@
 		if at, found := slices.BinarySearch(g.versions, version); !found {
 			g.versions = slices.Insert(g.versions, at, version)
 		}
+		if gap, ok := pace.event(time.Now()); ok && choice.Faster(time.Now(), g.need(), gap, moveFactor) {
+			return &movedError{gap: gap}
+		}
+	}
+}
+
+// movedError ends an attempt on an engine that has become slow.
+type movedError struct {
+	gap time.Duration // between events
+}
+
+func (e *movedError) Error() string { return "another engine is faster than " + e.gap.String() }
+
+// pacer measures the pace of one run.
+type pacer struct {
+	choice *pool.Choice
+	events int
+	since  time.Time // of the window's first event
+}
+
+// event takes an event in. At the end of each window it returns the time
+// between two events.
+func (p *pacer) event(now time.Time) (time.Duration, bool) {
+	if p.events%paceWindow == 0 {
+		gap := now.Sub(p.since) / paceWindow
+		first := p.events == 0
+		p.since = now
+		p.events++
+		if first {
+			return 0, false
+		}
+		p.choice.Paced(now, gap)
+		return gap, true
 	}
+	p.events++
+	return 0, false
 }
 
 // score calls the item's scorer until it answers, or has failed too often.
