--- a/internal/platform/rest/transport.go
+++ b/internal/platform/rest/transport.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -57,13 +58,20 @@
 	return &http.Client{Transport: transport, CheckRedirect: stay}
 }
 
-// counted dials connections whose writes are counted.
+// counted dials connections whose writes are counted. Closing one drops what
+// has not been delivered yet: a request that was given up must not reach its
+// server later, when a partition heals.
 func counted(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		connection, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			if err := tcp.SetLinger(0); err != nil {
+				return nil, errors.Join(err, tcp.Close())
+			}
+		}
 		return &countedConn{Conn: connection}, nil
 	}
 }
