--- a/internal/platform/rest/transport.go
+++ b/internal/platform/rest/transport.go
@@ -25,7 +25,9 @@
 var shared = sync.OnceValue(NewClient)
 
 // Connections are the times of a client's connections. Silence is the time
-// after which a connection whose other end answers nothing at all is given up.
+// after which the kernel gives up a connection whose other end answers nothing.
+// It is for calls without an effect, such as watches: only a reset of our own,
+// at the end of a call's time, makes sure that the call does not arrive later.
 // Zero fields take the defaults.
 type Connections struct {
 	Dial    time.Duration
--- a/internal/platform/rest/written.go
+++ b/internal/platform/rest/written.go
@@ -39,6 +39,14 @@
 	return c.writes
 }
 
+// sealNow seals the connection whatever was written and returns the count.
+func (c *countedConn) sealNow() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.writes
+}
+
 // seal returns false when a write has begun since the count was start.
 func (c *countedConn) seal(start int) bool {
 	c.mu.Lock()
@@ -73,7 +81,9 @@
 	}
 	t.start = t.conn.count()
 	if info.Reused && stale(t.conn.Conn) {
-		t.conn.seal(t.start)
+		// What was written meanwhile is the end of the TLS session: the request
+		// waits for this call.
+		t.start = t.conn.sealNow()
 	}
 }
 
--- a/internal/rollout/batch/queries.go
+++ b/internal/rollout/batch/queries.go
@@ -85,7 +85,8 @@
 	defer b.mu.Unlock()
 	list, ok := b.logs[request.ID]
 	k := b.known[request.ID]
-	whole := k.Ended && k.Owner == b.Host && k.Incarnation == b.Incarnation
+	// An owner before this one may have written more than this one has read.
+	whole := k.Ended && k.Owner == b.Host && k.Incarnation == b.Incarnation && k.Epoch == 1
 	if !ok || len(list) <= request.After && !whole {
 		return Page{}, false
 	}
--- a/internal/rollout/batch/work.go
+++ b/internal/rollout/batch/work.go
@@ -37,6 +37,7 @@
 	mu      sync.Mutex
 	list    []Result // as acknowledged by the store
 	chunks  int      // objects of the log
+	peeked  time.Time
 	listed  map[string]bool
 	changed chan struct{} // closed when list grows
 	holds   map[string]bool
@@ -96,7 +97,7 @@
 			return
 		}
 	}
-	w.Log.Emit(event.BatchListed, "batch", w.batch.ID, "items", len(w.batch.Items), "chunks", w.chunks)
+	w.Log.Emit(event.BatchListed, "batch", w.batch.ID, "items", len(w.batch.Items), "chunks", w.next())
 }
 
 func (w *work) left() int {
@@ -170,16 +171,17 @@
 			return false
 		}
 		began := time.Now()
-		_, err = w.ledger().put(ctx, logKey(w.batch.ID, w.chunks), value, 0)
+		chunk := w.next()
+		_, err = w.ledger().put(ctx, logKey(w.batch.ID, chunk), value, 0)
 		switch {
 		case err == nil:
 			w.wrote = time.Now()
-			w.publish(results)
+			w.publish(chunk, results)
 			return true
 		case conflicts(err):
-			w.merge(ctx)
+			w.merge(ctx, chunk)
 		default:
-			w.Log.Emit(event.BatchWriteFailed, "batch", w.batch.ID, "chunk", w.chunks,
+			w.Log.Emit(event.BatchWriteFailed, "batch", w.batch.ID, "chunk", chunk,
 				"ms", time.Since(began).Milliseconds(), "err", err.Error())
 			retry(ctx)
 		}
@@ -189,18 +191,29 @@
 
 // merge takes in the object that stands where this owner wanted to write: its
 // own, when the answer was lost, or another owner's (rule 3).
-func (w *work) merge(ctx context.Context) {
-	results, err := w.ledger().chunk(ctx, w.batch.ID, w.chunks)
+func (w *work) merge(ctx context.Context, chunk int) {
+	results, err := w.ledger().chunk(ctx, w.batch.ID, chunk)
 	if err != nil {
 		retry(ctx)
 		return
 	}
-	w.publish(results)
+	w.publish(chunk, results)
 }
 
-func (w *work) publish(results []Result) {
+// next returns the number of the log's next object.
+func (w *work) next() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.chunks
+}
+
+// publish shows an object of the log to readers, unless it is shown already.
+func (w *work) publish(chunk int, results []Result) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.chunks != chunk {
+		return
+	}
 	w.chunks++
 	w.list = append(w.list, results...)
 	for _, r := range results {
@@ -210,14 +223,47 @@
 	w.changed = make(chan struct{})
 }
 
+func (w *work) short(after int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.list) <= after
+}
+
 func (w *work) isListed(id string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.listed[id]
 }
 
+// peekEvery is how often an owner that took a batch over looks for what the
+// owner before still writes.
+const peekEvery = 400 * time.Millisecond
+
+// peek reads on in the log of a batch that was taken over: the owner before may
+// not know yet that it is no longer, and readers may have its results.
+func (w *work) peek(ctx context.Context) {
+	w.mu.Lock()
+	due := w.epoch > 1 && time.Since(w.peeked) >= peekEvery
+	if due {
+		w.peeked = time.Now()
+	}
+	chunk := w.chunks
+	w.mu.Unlock()
+	if !due {
+		return
+	}
+	results, err := w.ledger().chunk(ctx, w.batch.ID, chunk)
+	if err != nil {
+		return // nothing there, or found at the next write
+	}
+	w.publish(chunk, results)
+}
+
 // read returns results from a position on and waits for the first.
 func (w *work) read(ctx context.Context, after int, wait time.Duration) Page {
+	if w.short(after) {
+		w.peek(ctx)
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
