--- a/internal/rollout/step/call.go
+++ b/internal/rollout/step/call.go
@@ -138,12 +138,24 @@
 
 func (c cancelStep) apply(o *Owner) {
 	o.ledger.Cancel()
-	close(c.reply)
+	o.ending = append(o.ending, c)
+}
+
+// acknowledge answers the calls of Cancel once the platform holds the end.
+func (o *Owner) acknowledge() {
+	if !o.ledger.Status().Canceled {
+		return
+	}
+	for _, c := range o.ending {
+		close(c.reply)
+	}
+	o.ending = nil
 }
 
 // Cancel ends the step: no chunk is committed after the one in progress, and
-// later pulls get a *CanceledError. It returns once the owner knows of it; the
-// platform learns it as soon as it can be reached.
+// later pulls get a *CanceledError. It returns once the platform holds the end,
+// so that every later owner knows of it. A *FencedError says that another owner
+// has the step and does not know of the end.
 func (o *Owner) Cancel(ctx context.Context) error {
 	c := cancelStep{reply: make(chan struct{})}
 	if err := o.send(ctx, c); err != nil {
@@ -155,6 +167,11 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-o.done:
+	}
+	select {
+	case <-c.reply: // acknowledged just before the owner ended
+		return nil
+	default:
 		return o.end()
 	}
 }
--- a/internal/rollout/step/owner.go
+++ b/internal/rollout/step/owner.go
@@ -97,6 +97,7 @@
 	retry    time.Time // no write before
 	failures int
 	waiting  []*pull
+	ending   []cancelStep // calls of Cancel that wait for the platform
 	canceled map[string]context.CancelFunc
 	scoring  map[string]bool
 	fenced   *FencedError
@@ -148,6 +149,7 @@
 	}
 	o.serve()
 	o.write()
+	o.acknowledge()
 	if o.dirty {
 		o.dirty = false
 		o.assign()
--- a/internal/rollout/step/step_test.go
+++ b/internal/rollout/step/step_test.go
@@ -29,6 +29,7 @@
 	writes   int
 	lose     int
 	refuse   int
+	before   func() // called before a write
 }
 
 func (s *store) Get(_ context.Context, key string) (object.Object, error) {
@@ -42,6 +43,9 @@
 }
 
 func (s *store) Put(_ context.Context, key string, value []byte, expect uint64) (object.Object, error) {
+	if s.before != nil {
+		s.before()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
@@ -227,10 +231,28 @@
 		Expect(owner.Cancel(ctx)).To(Succeed())
 		_, err = owner.Pull(ctx, step.Request{})
 		Expect(err).To(BeAssignableToTypeOf(&step.CanceledError{}))
-		Eventually(func() error {
-			_, err := step.Open(ctx, config("h2"), wanted.ID, nil)
-			return err
-		}).Should(BeAssignableToTypeOf(&step.CanceledError{}))
+		_, err = step.Open(ctx, config("h2"), wanted.ID, nil)
+		Expect(err).To(BeAssignableToTypeOf(&step.CanceledError{}))
+		Expect(owner.Close()).To(Succeed())
+	})
+
+	It("acknowledges no end that a successor did not see", func() {
+		owner, err := step.Open(ctx, config("h1"), wanted.ID, &wanted)
+		Expect(err).NotTo(HaveOccurred())
+		var successor *step.Owner
+		taken := false
+		st.before = func() { // the successor opens the step just before the end is written
+			if taken {
+				return
+			}
+			taken = true
+			successor, err = step.Open(ctx, config("h2"), wanted.ID, &wanted)
+		}
+		ended := owner.Cancel(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ended).To(BeAssignableToTypeOf(&step.FencedError{}))
+		Expect(successor.Cancel(ctx)).To(Succeed())
+		Expect(successor.Close()).To(Succeed())
 		Expect(owner.Close()).To(Succeed())
 	})
 })
