--- /dev/null
+++ b/internal/backend/pool/pool_test.go
@@ -0,0 +1,153 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
+	"github.com/hyssopwall/hyssopwall/internal/standin/cases"
+)
+
+func TestPool(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Pool Suite")
+}
+
+// script is one case: servers, what happens to them, and the servers that the
+// requests then get, in order; an empty name stands for none.
+type script struct {
+	Pattern string
+	Zone    string
+	Servers []pool.Server
+	Steps   []step
+}
+
+// step does one thing. Pick names the expected server; Pace, Load, Fail and
+// Refuse apply to the server On, Put replaces its entry.
+type step struct {
+	Pick   *string
+	Need   pool.Need
+	Times  int
+	Keep   bool // the place is not given back
+	On     string
+	Pace   int // milliseconds between events
+	Load   *pool.Load
+	Fail   bool
+	Refuse bool
+	Put    *pool.Server
+	Remove bool
+	After  int // milliseconds that pass first
+}
+
+var _ = Describe("the choice of a server", func() {
+	all, err := cases.Load[script]("testdata/*.hujson")
+	if err != nil {
+		panic(err)
+	}
+	for _, c := range all {
+		It(c.Name+": "+c.Data.Pattern, func() {
+			now := time.Unix(1_800_000_000, 0)
+			p := &pool.Pool{Zone: c.Data.Zone}
+			Expect(p.Known()).To(BeFalse())
+			p.Replace(c.Data.Servers)
+			for i, s := range c.Data.Steps {
+				now = now.Add(time.Duration(s.After) * time.Millisecond)
+				s.run(p, now, i)
+			}
+		})
+	}
+})
+
+func (s step) run(p *pool.Pool, now time.Time, i int) {
+	switch {
+	case s.Put != nil:
+		p.Put(*s.Put)
+	case s.Remove:
+		p.Remove(s.On)
+	case s.On != "":
+		s.change(p, now, i)
+	}
+	if s.Pick == nil {
+		return
+	}
+	for range max(1, s.Times) {
+		choice, ok := p.Pick(now, s.Need)
+		Expect(ok).To(Equal(*s.Pick != ""), "step %d", i)
+		if !ok {
+			continue
+		}
+		Expect(choice.Server.Name).To(Equal(*s.Pick), "step %d", i)
+		if !s.Keep {
+			choice.Release()
+			choice.Release() // a second one changes nothing
+		}
+	}
+}
+
+// change lets a request meet the server.
+func (s step) change(p *pool.Pool, now time.Time, i int) {
+	need := s.Need
+	for _, server := range p.Servers() {
+		if server.Name == s.On {
+			need.Service = server.Service
+		} else {
+			need.Avoid = append(need.Avoid, server.Name)
+		}
+	}
+	choice, ok := p.Pick(now, need)
+	Expect(ok).To(BeTrue(), "step %d", i)
+	if s.Pace > 0 {
+		choice.Paced(now, time.Duration(s.Pace)*time.Millisecond)
+	}
+	choice.Release()
+	if s.Load != nil {
+		choice.Reported(now, *s.Load)
+	}
+	if s.Fail {
+		choice.Failed(now)
+	}
+	if s.Refuse {
+		choice.Refused(now)
+	}
+}
+
+var _ = Describe("a pool", func() {
+	It("wakes waiters when a place is given back", func() {
+		p := &pool.Pool{}
+		p.Replace([]pool.Server{{Name: "a", Service: "s", Slots: 1}})
+		choice, ok := p.Pick(time.Now(), pool.Need{Service: "s"})
+		Expect(ok).To(BeTrue())
+		changed := p.Changed()
+		Expect(changed).NotTo(BeClosed())
+		choice.Release()
+		Expect(changed).To(BeClosed())
+	})
+
+	It("learns newer weights from an answer before the list says so", func() {
+		p := &pool.Pool{}
+		p.Replace([]pool.Server{{Name: "a", Service: "s", Slots: 1, Versions: map[string]uint64{"m": 1}}})
+		need := pool.Need{Service: "s", Model: "m", Floor: 2}
+		Expect(p.Usable(need)).To(BeZero())
+		choice, ok := p.Pick(time.Now(), pool.Need{Service: "s"})
+		Expect(ok).To(BeTrue())
+		choice.Version("m", 2)
+		Expect(p.Usable(need)).To(Equal(1))
+	})
+
+	It("says whether another server is faster by a factor, and has room", func() {
+		now := time.Now()
+		p := &pool.Pool{}
+		p.Replace([]pool.Server{{Name: "a", Service: "s", Slots: 1}, {Name: "b", Service: "s", Slots: 1}})
+		slow, _ := p.Pick(now, pool.Need{Service: "s", Avoid: []string{"b"}})
+		fast, _ := p.Pick(now, pool.Need{Service: "s", Avoid: []string{"a"}})
+		fast.Paced(now, 40*time.Millisecond)
+		need := pool.Need{Service: "s"}
+		Expect(slow.Faster(now, need, 100*time.Millisecond, 2)).To(BeFalse()) // full
+		fast.Release()
+		Expect(slow.Faster(now, need, 100*time.Millisecond, 2)).To(BeTrue())
+		Expect(slow.Faster(now, need, 70*time.Millisecond, 2)).To(BeFalse())
+	})
+})
--- a/internal/host/steps/call.go
+++ b/internal/host/steps/call.go
@@ -212,7 +212,6 @@
 	if err != nil {
 		return status{}, s.pullError(c.ID, err)
 	}
-	found.Canceled = found.Canceled || c.Cancel // the owner knows; the platform hears of it next
 	return status{Status: found}, nil
 }
 
