--- /dev/null
+++ b/internal/rollout/batch/batch_test.go
@@ -0,0 +1,538 @@
+package batch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
+	"github.com/hyssopwall/hyssopwall/internal/entry/forward"
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/rollout/batch"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+	"github.com/hyssopwall/hyssopwall/internal/standin/objects"
+)
+
+func TestBatch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Batch Suite")
+}
+
+// site is a few hosts with one store and one engine, without a network. Hosts
+// see each other's records by a watch each.
+type site struct {
+	ctx   context.Context
+	store *objects.Store
+	gen   *engine
+	mu    sync.Mutex
+	books map[string]*batch.Book
+	ends  map[string]context.CancelFunc
+	dead  map[string]bool
+}
+
+func newSite(ctx context.Context, hosts ...string) *site {
+	s := &site{
+		ctx: ctx, store: &objects.Store{}, gen: &engine{hold: map[string]chan struct{}{}, runs: map[string][]int{}},
+		books: map[string]*batch.Book{}, ends: map[string]context.CancelFunc{}, dead: map[string]bool{},
+	}
+	for _, host := range hosts {
+		s.start(host, 1)
+	}
+	return s
+}
+
+func (s *site) start(host string, incarnation uint64) {
+	p := &pool.Pool{}
+	p.Replace([]pool.Server{
+		{Name: "e1", Service: "llm", Slots: 64, Versions: map[string]uint64{"m": 5}},
+		{Name: "e2", Service: "llm", Slots: 64, Versions: map[string]uint64{"m": 5}},
+	})
+	book := &batch.Book{
+		Host: host, Incarnation: incarnation, Store: s.store, Peers: &peers{site: s, self: host}, Pool: p,
+		Engine: s.gen, Scores: s.gen, Reaches: func() bool { return true },
+		Log: event.Log{Sink: func(e event.Entry, pairs []any) { GinkgoWriter.Println(host, e.Text, pairs) }},
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.mu.Lock()
+	s.books[host], s.ends[host], s.dead[host] = book, cancel, false
+	s.mu.Unlock()
+	go book.Run(ctx)
+	follower := object.Follower{Reader: s.store, Prefix: batch.RecordPrefix, Now: func() time.Duration { return 0 }, Handle: book.Learn}
+	go follower.Run(ctx)
+}
+
+// kill ends a host without a word.
+func (s *site) kill(host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dead[host] = true
+	s.ends[host]()
+}
+
+func (s *site) book(host string) *batch.Book {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dead[host] {
+		return nil
+	}
+	return s.books[host]
+}
+
+func (s *site) read(host, id string, after int) (batch.Page, error) {
+	return s.book(host).Read(s.ctx, id, "w", after, 0)
+}
+
+// listed returns the identifiers of all results as one host shows them.
+func (s *site) listed(host, id string) []string {
+	var ids []string
+	for {
+		page, err := s.read(host, id, len(ids))
+		if err != nil || len(page.Results) == 0 {
+			return ids
+		}
+		for _, r := range page.Results {
+			ids = append(ids, r.ID)
+		}
+	}
+}
+
+// peers are calls between the hosts of a site.
+type peers struct {
+	*site
+	self string
+}
+
+var errDead = fmt.Errorf("host is dead")
+
+func (p *peers) Rank(_ string, without ...string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rank := 0
+	for host := range p.books {
+		if host < p.self && !slices.Contains(without, host) {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (p *peers) Read(ctx context.Context, host string, request batch.ReadRequest) (batch.ReadReply, error) {
+	if b := p.book(host); b != nil {
+		return b.ServeRead(ctx, request), nil
+	}
+	return batch.ReadReply{}, errDead
+}
+
+func (p *peers) Body(_ context.Context, host string, request batch.BodyRequest) (batch.BodyReply, error) {
+	if b := p.book(host); b != nil {
+		return b.ServeBody(request), nil
+	}
+	return batch.BodyReply{}, errDead
+}
+
+func (p *peers) End(_ context.Context, host, id string) error {
+	if b := p.book(host); b != nil {
+		b.Ended(id)
+		return nil
+	}
+	return errDead
+}
+
+func (p *peers) Partials(ctx context.Context, host string, request batch.PartialsRequest) (batch.PartialsReply, error) {
+	if b := p.book(host); b != nil {
+		return b.ServePartials(ctx, request), nil
+	}
+	return batch.PartialsReply{}, errDead
+}
+
+func (p *peers) Ping(_ context.Context, host string) (uint64, bool) {
+	if b := p.book(host); b != nil {
+		return b.Incarnation, true
+	}
+	return 0, false
+}
+
+// engine generates three events for each item. An item that is held makes one
+// event and then waits; one that is failed answers with a failure.
+type engine struct {
+	mu      sync.Mutex
+	hold    map[string]chan struct{}
+	fail    map[string]*batch.FailedRunError
+	cut     map[string]int // breaks off before this event, once
+	version uint64         // named at each start, 5 when zero
+	runs    map[string][]int
+	scores  int
+	noScore int // answers with a failure before the first score
+}
+
+const events = 3
+
+func (e *engine) Generate(ctx context.Context, _ pool.Server, request forward.Request) (batch.Stream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs[request.ID] = append(e.runs[request.ID], request.Resume)
+	if failed := e.fail[request.ID]; failed != nil {
+		return nil, failed
+	}
+	version := e.version
+	if version == 0 {
+		version = 5
+	}
+	s := &stream{ctx: ctx, item: request.ID, next: request.Resume, version: version, hold: e.hold[request.ID], cut: -1}
+	if at, ok := e.cut[request.ID]; ok {
+		s.cut = at
+		delete(e.cut, request.ID)
+	}
+	return s, nil
+}
+
+func (e *engine) Score(context.Context, batch.Scorer) (string, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.scores++
+	if e.noScore > 0 {
+		e.noScore--
+		return "", &batch.FailedScoreError{Fails: 1, Most: 3}
+	}
+	return "score", nil
+}
+
+func (e *engine) resumed(item string) []int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.runs[item])
+}
+
+type stream struct {
+	ctx     context.Context
+	item    string
+	next    int
+	version uint64
+	hold    chan struct{}
+	cut     int
+	begun   bool
+}
+
+func (s *stream) Next() (batch.Event, error) {
+	if !s.begun {
+		s.begun = true
+		return batch.Event{Version: s.version}, nil
+	}
+	if s.hold != nil && s.next >= 1 {
+		select {
+		case <-s.hold:
+		case <-s.ctx.Done():
+			return batch.Event{}, s.ctx.Err()
+		}
+	}
+	if s.next == s.cut {
+		return batch.Event{}, &forward.BrokenError{Reason: "cut"}
+	}
+	if s.next == events {
+		return batch.Event{}, io.EOF
+	}
+	s.next++
+	return batch.Event{Number: s.next, Text: fmt.Sprintf("%s-%d", s.item, s.next)}, nil
+}
+
+func (*stream) Close() {}
+
+func text(item string) string {
+	return strings.Join([]string{item + "-1", item + "-2", item + "-3"}, "\n")
+}
+
+// submission returns a batch of items; those of one letter are one group.
+func submission(id string, items ...string) batch.Batch {
+	b := batch.Batch{ID: id, Workspace: "w", Route: "r", Model: "m", Floor: 5, Step: 4, Service: "llm", Attempts: 3, Due: time.Minute, Expiry: time.Minute}
+	for _, item := range items {
+		b.Items = append(b.Items, batch.Item{ID: item, Target: "/x", Group: item[:1], Body: []byte("body of " + item)})
+	}
+	return b
+}
+
+const patience = 8 * time.Second // of Eventually; the takeover takes about two
+
+var _ = Describe("a batch", func() {
+	var (
+		ctx    context.Context
+		cancel context.CancelFunc
+		s      *site
+	)
+	BeforeEach(func() {
+		ctx, cancel = context.WithCancel(context.Background())
+		s = newSite(ctx, "h1", "h2", "h3")
+	})
+	AfterEach(func() { cancel() })
+
+	accept := func(host string, b batch.Batch) {
+		GinkgoHelper()
+		Expect(s.book(host).Accept(ctx, b)).To(Succeed())
+	}
+
+	It("is served whole and alike by every host, by its body until listed", func() {
+		s.gen.hold["a2"] = make(chan struct{})
+		b := submission("one", "a1", "a2")
+		b.Items[0].Scorer = &batch.Scorer{ID: "s"}
+		accept("h1", b)
+		Eventually(func() []string { return s.listed("h2", "one") }, patience).Should(Equal([]string{"a1"}))
+		body, err := s.book("h3").Body(ctx, "one", "w", "a2")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal("body of a2"))
+		_, err = s.book("h3").Body(ctx, "one", "w", "a1")
+		Expect(err).To(BeAssignableToTypeOf(&batch.NotFoundError{}))
+		close(s.gen.hold["a2"])
+		for _, host := range []string{"h1", "h2", "h3"} {
+			Eventually(func() []string { return s.listed(host, "one") }, patience).Should(Equal([]string{"a1", "a2"}))
+		}
+		page, err := s.read("h3", "one", 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Total).To(Equal(2))
+		Expect(page.Results[0]).To(Equal(batch.Result{ID: "a1", State: batch.Completed, Text: text("a1"), Versions: []uint64{5}, Score: "score"}))
+	})
+
+	It("is another workspace's secret", func() {
+		accept("h1", submission("one", "a1"))
+		_, err := s.book("h2").Read(ctx, "one", "other", 0, 0)
+		Expect(err).To(BeAssignableToTypeOf(&batch.NotFoundError{}))
+		Expect(s.book("h2").End(ctx, "one", "other")).To(BeAssignableToTypeOf(&batch.NotFoundError{}))
+	})
+
+	It("is accepted once, however often and wherever it comes", func() {
+		accept("h1", submission("one", "a1"))
+		accept("h2", submission("one", "a1"))
+		accept("h1", submission("one", "a1"))
+		Expect(s.store.Keys(batch.RecordPrefix)).To(HaveLen(1))
+		Eventually(func() []string { return s.listed("h3", "one") }, patience).Should(Equal([]string{"a1"}))
+		Expect(s.gen.resumed("a1")).To(HaveLen(1))
+	})
+
+	// Pattern: an answer to the caller before the state that it promises stands.
+	DescribeTable("is refused only when no write can take effect any more", func(fault objects.Fault, kind string, want any) {
+		limited, stop := context.WithTimeout(ctx, 300*time.Millisecond)
+		defer stop()
+		lost := 0
+		s.store.Inject(func(op, key string) objects.Fault {
+			if op != "put" || !strings.HasPrefix(key, kind) || fault == objects.Lost && lost > 0 {
+				return objects.None
+			}
+			lost++
+			return fault
+		})
+		err := s.book("h1").Accept(limited, submission("one", "a1"))
+		s.store.Inject(nil)
+		s.store.Deliver()
+		if want == nil {
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(func() []string { return s.listed("h2", "one") }, patience).Should(Equal([]string{"a1"}))
+			return
+		}
+		Expect(err).To(BeAssignableToTypeOf(want))
+		if _, refused := err.(*batch.UnavailableError); refused {
+			Consistently(func() []string { return s.store.Keys(batch.RecordPrefix) }, 200*time.Millisecond).Should(BeEmpty())
+			Expect(s.gen.resumed("a1")).To(BeEmpty())
+		}
+	},
+		Entry("body refused", objects.Down, batch.BodyPrefix, &batch.UnavailableError{}),
+		Entry("record refused", objects.Down, batch.RecordPrefix, &batch.UnavailableError{}),
+		Entry("record done, the answer lost", objects.Lost, batch.RecordPrefix, nil),
+		Entry("record never done, no answers", objects.Dropped, batch.RecordPrefix, &batch.UnsureError{}),
+		Entry("record done later", objects.Late, batch.RecordPrefix, &batch.UnsureError{}),
+	)
+
+	It("goes on from the text so far when an engine breaks off", func() {
+		s.gen.cut = map[string]int{"a1": 2}
+		accept("h1", submission("one", "a1"))
+		Eventually(func() []string { return s.listed("h1", "one") }, patience).Should(HaveLen(1))
+		Expect(s.gen.resumed("a1")).To(Equal([]int{0, 2}))
+		page, _ := s.read("h1", "one", 0)
+		Expect(page.Results[0].Text).To(Equal(text("a1")))
+	})
+
+	It("gives an item up after as many failures as allowed, or at once when none can do it", func() {
+		s.gen.fail = map[string]*batch.FailedRunError{"a1": {}, "a2": {Final: true}}
+		accept("h1", submission("one", "a1", "a2"))
+		Eventually(func() []string { return s.listed("h1", "one") }, patience).Should(HaveLen(2))
+		page, _ := s.read("h1", "one", 0)
+		for _, r := range page.Results {
+			Expect(r.State).To(Equal(batch.Errored))
+		}
+		Expect(s.gen.resumed("a1")).To(HaveLen(3))
+		Expect(s.gen.resumed("a2")).To(HaveLen(1))
+	})
+
+	It("takes no text of weights that are too old", func() {
+		s.gen.version = 4
+		accept("h1", submission("one", "a1"))
+		Consistently(func() []string { return s.listed("h1", "one") }, 300*time.Millisecond).Should(BeEmpty())
+		s.gen.mu.Lock()
+		s.gen.version = 6
+		s.gen.mu.Unlock()
+		Eventually(func() []string { return s.listed("h1", "one") }, patience).Should(HaveLen(1))
+		page, _ := s.read("h1", "one", 0)
+		Expect(page.Results[0].Versions).To(Equal([]uint64{6}))
+	})
+
+	It("repeats a scorer's failures as often as its route allows", func() {
+		s.gen.noScore = 2
+		b := submission("one", "a1")
+		b.Items[0].Scorer = &batch.Scorer{ID: "s"}
+		accept("h1", b)
+		Eventually(func() []string { return s.listed("h1", "one") }, patience).Should(HaveLen(1))
+		page, _ := s.read("h1", "one", 0)
+		Expect(page.Results[0].Score).To(Equal("score"))
+	})
+
+	// Pattern: the owner dies, or is cut off and goes on writing.
+	It("is taken over from a host that died, and nothing listed changes", func() {
+		s.gen.hold["a2"] = make(chan struct{})
+		accept("h2", submission("one", "a1", "a2"))
+		Eventually(func() []string { return s.listed("h3", "one") }, patience).Should(Equal([]string{"a1"}))
+		s.kill("h2")
+		close(s.gen.hold["a2"])
+		Eventually(func() []string { return s.listed("h3", "one") }, patience).Should(Equal([]string{"a1", "a2"}))
+		Eventually(func() []string { return s.listed("h1", "one") }, patience).Should(Equal([]string{"a1", "a2"}))
+		Expect(s.gen.resumed("a1")).To(HaveLen(1), "what is listed is not generated again")
+	})
+
+	It("shows what an owner writes that does not know of its successor", func() {
+		s.gen.hold["a1"], s.gen.hold["a2"] = make(chan struct{}), make(chan struct{})
+		accept("h2", submission("one", "a1", "a2"))
+		record, err := s.store.Get(ctx, batch.RecordPrefix+"one")
+		Expect(err).NotTo(HaveOccurred())
+		// h2 hears nothing of records; its pings are lost too.
+		s.mu.Lock()
+		s.dead["h2"] = true
+		old := s.books["h2"]
+		s.mu.Unlock()
+		Eventually(func() uint64 {
+			now, _ := s.store.Get(ctx, record.Key)
+			return now.Version
+		}, patience).Should(BeNumerically(">", record.Version))
+		// The new owner's items wait as well; a result of the old owner comes first.
+		_, err = s.store.Put(ctx, batch.LogPrefix+"one.00000", []byte(`[{"id":"a1","state":"completed","text":"x","versions":[5]}]`), 0)
+		Expect(err).NotTo(HaveOccurred())
+		_ = old
+		Eventually(func() []string { return s.listed("h1", "one") }, patience).Should(Equal([]string{"a1"}))
+		close(s.gen.hold["a1"])
+		close(s.gen.hold["a2"])
+		Eventually(func() []string { return s.listed("h3", "one") }, patience).Should(Equal([]string{"a1", "a2"}))
+		page, _ := s.read("h1", "one", 0)
+		Expect(page.Results[0].Text).To(Equal("x"), "a listed result never changes")
+	})
+
+	It("goes on after all hosts were killed at once", func() {
+		s.gen.hold["a1"] = make(chan struct{})
+		accept("h1", submission("one", "a1"))
+		for _, host := range []string{"h1", "h2", "h3"} {
+			s.kill(host)
+		}
+		close(s.gen.hold["a1"])
+		for _, host := range []string{"h1", "h2", "h3"} {
+			s.start(host, 2)
+		}
+		Eventually(func() []string { return s.listed("h2", "one") }, patience).Should(Equal([]string{"a1"}))
+	})
+
+	It("is handed on by a host that stops", func() {
+		s.gen.hold["a1"] = make(chan struct{})
+		accept("h1", submission("one", "a1"))
+		s.book("h1").Leave(ctx)
+		Expect(s.book("h1").Accept(ctx, submission("two", "b1"))).To(BeAssignableToTypeOf(&batch.UnavailableError{}))
+		close(s.gen.hold["a1"])
+		Eventually(func() []string { return s.listed("h3", "one") }, patience).Should(Equal([]string{"a1"}))
+	})
+
+	It("stops its work at its end, told by any host, and stays readable", func() {
+		s.gen.hold["a2"] = make(chan struct{})
+		accept("h1", submission("one", "a1", "a2"))
+		Eventually(func() []string { return s.listed("h1", "one") }, patience).Should(HaveLen(1))
+		Expect(s.book("h2").End(ctx, "one", "w")).To(Succeed())
+		Expect(s.book("h3").End(ctx, "one", "w")).To(Succeed())
+		Eventually(s.book("h1").Open, patience).Should(BeZero())
+		close(s.gen.hold["a2"])
+		Consistently(func() []string { return s.listed("h2", "one") }, 300*time.Millisecond).Should(Equal([]string{"a1"}))
+	})
+
+	// Pattern: the caller of an end gets no second chance, the store is away.
+	It("is ended later when the store does not take the end now", func() {
+		s.gen.hold["a1"] = make(chan struct{})
+		accept("h1", submission("one", "a1"))
+		s.store.Inject(func(op, key string) objects.Fault {
+			if op == "put" && strings.HasPrefix(key, batch.RecordPrefix) {
+				return objects.Down
+			}
+			return objects.None
+		})
+		Expect(s.book("h2").End(ctx, "one", "w")).To(BeAssignableToTypeOf(&batch.UnsureError{}))
+		Expect(s.book("h1").Open()).To(Equal(1))
+		s.store.Inject(nil)
+		Eventually(s.book("h1").Open, patience).Should(BeZero())
+	})
+
+	// Pattern: groups that a step left unfinished come again with a later one.
+	It("takes its items over from an earlier batch with their text", func() {
+		s.gen.hold["a1"] = make(chan struct{})
+		accept("h1", submission("one", "a1"))
+		Eventually(func() []int { return s.gen.resumed("a1") }, patience).Should(HaveLen(1))
+		Eventually(func() int { return len(s.store.Keys(batch.RecordPrefix)) }, patience).Should(Equal(1))
+		time.Sleep(50 * time.Millisecond) // the first event is in
+		accept("h2", submission("two", "a1", "b1"))
+		Eventually(func() []int { return s.gen.resumed("a1") }, patience).Should(HaveLen(2))
+		close(s.gen.hold["a1"])
+		Eventually(func() []string { return s.listed("h3", "two") }, patience).Should(ConsistOf("a1", "b1"))
+		Expect(s.gen.resumed("a1")).To(Equal([]int{0, 1}))
+		Expect(s.listed("h1", "one")).To(BeEmpty())
+	})
+
+	It("generates carried items anew when their text is too old", func() {
+		s.gen.hold["a1"] = make(chan struct{})
+		accept("h1", submission("one", "a1"))
+		Eventually(func() []int { return s.gen.resumed("a1") }, patience).Should(HaveLen(1))
+		time.Sleep(50 * time.Millisecond)
+		s.gen.mu.Lock()
+		s.gen.version = 6
+		s.gen.mu.Unlock()
+		later := submission("two", "a1")
+		later.Floor = 6
+		p := s.book("h2").Pool
+		p.Put(pool.Server{Name: "e1", Service: "llm", Slots: 64, Versions: map[string]uint64{"m": 6}})
+		accept("h2", later)
+		Eventually(func() []int { return s.gen.resumed("a1") }, patience).Should(HaveLen(2))
+		close(s.gen.hold["a1"])
+		Eventually(func() []string { return s.listed("h3", "two") }, patience).Should(HaveLen(1))
+		Expect(s.gen.resumed("a1")).To(Equal([]int{0, 0}))
+	})
+
+	It("tells the demand for its model", func() {
+		b := submission("one", "a1", "a2")
+		b.Items[0].Length, b.Items[1].Length = 100, 50
+		accept("h1", b)
+		Expect(s.book("h1").Demand("m")).To(Equal(batch.Demand{Tokens: 150, Lagged: false}))
+		b = submission("two", "b1")
+		b.Step = 6
+		accept("h1", b)
+		Eventually(func() batch.Demand { return s.book("h1").Demand("m") }, patience).Should(Equal(batch.Demand{Lag: 1, Lagged: true}))
+	})
+})
+
+var _ = Describe("a submission", func() {
+	DescribeTable("is checked", func(change func(*batch.Batch)) {
+		b := submission("one", "a1", "a2")
+		Expect(b.Check()).To(Succeed())
+		change(&b)
+		Expect(b.Check()).To(BeAssignableToTypeOf(&batch.FieldError{}))
+	},
+		Entry("identifier", func(b *batch.Batch) { b.ID = "" }),
+		Entry("no items", func(b *batch.Batch) { b.Items = nil }),
+		Entry("repeated item", func(b *batch.Batch) { b.Items[1].ID = "a1" }),
+		Entry("path", func(b *batch.Batch) { b.Items[1].Target = "x" }),
+	)
+})
--- a/internal/rollout/batch/book.go
+++ b/internal/rollout/batch/book.go
@@ -142,14 +142,14 @@
 // Run works until the context ends.
 func (b *Book) Run(ctx context.Context) {
 	b.mu.Lock()
-	b.start(ctx)
+	b.ctx = ctx
 	b.mu.Unlock()
 	b.watchOwners(ctx)
 	b.group.Wait()
 }
 
-func (b *Book) start(ctx context.Context) {
-	b.ctx = ctx
+// fill makes the zero value usable; the caller holds the lock.
+func (b *Book) fill() {
 	if b.known == nil {
 		b.known = map[string]known{}
 		b.works = map[string]*work{}
@@ -183,7 +183,8 @@
 func (b *Book) learn(id string, record Record, version uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.known == nil || b.known[id].version >= version {
+	b.fill()
+	if b.known[id].version >= version {
 		return
 	}
 	b.known[id] = known{record, version}
--- a/internal/rollout/batch/carry.go
+++ b/internal/rollout/batch/carry.go
@@ -30,6 +30,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.fill()
 	if len(b.partials[item].Texts) >= len(partial.Texts) && b.partials[item].newest() >= partial.newest() {
 		return
 	}
--- a/internal/rollout/batch/queries.go
+++ b/internal/rollout/batch/queries.go
@@ -125,7 +125,8 @@
 func (b *Book) keep(id string, list []Result, chunks int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if chunks > b.chunks[id] && b.logs != nil {
+	b.fill()
+	if chunks > b.chunks[id] {
 		b.logs[id], b.chunks[id] = list, chunks
 	}
 }
--- /dev/null
+++ b/internal/standin/objects/objects.go
@@ -0,0 +1,211 @@
+// Package objects is an object store in memory for tests, with faults at any
+// call.
+package objects
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+)
+
+// Fault is what happens to a call.
+type Fault string
+
+// The faults of calls.
+const (
+	None    Fault = ""
+	Down    Fault = "down"    // refused, without effect
+	Lost    Fault = "lost"    // done, the answer is lost
+	Dropped Fault = "dropped" // not done, and no answer
+	Late    Fault = "late"    // no answer, and done when Deliver is called
+)
+
+// ErrFault is the cause of injected failures.
+var ErrFault = errors.New("injected")
+
+// Store implements object.Store. The zero value is empty. Before, when set, is
+// called ahead of each call with its operation and key, and decides its fault.
+type Store struct {
+	Before func(op, key string) Fault
+
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]object.Object
+	history  []object.Object
+	changed  chan struct{}
+	late     []func()
+	Calls    int
+}
+
+func (s *Store) fault(op, key string) Fault {
+	s.mu.Lock()
+	before := s.Before
+	s.Calls++
+	s.mu.Unlock()
+	if before == nil {
+		return None
+	}
+	return before(op, key)
+}
+
+// Inject sets what decides the faults of later calls.
+func (s *Store) Inject(before func(op, key string) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Before = before
+}
+
+// Deliver carries late writes out, if their conditions still hold.
+func (s *Store) Deliver() {
+	s.mu.Lock()
+	late := s.late
+	s.late = nil
+	s.mu.Unlock()
+	for _, write := range late {
+		write()
+	}
+}
+
+// Get implements object.Reader.
+func (s *Store) Get(_ context.Context, key string) (object.Object, error) {
+	if s.fault("get", key) != None {
+		return object.Object{}, &object.OutageError{Err: ErrFault}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, ok := s.objects[key]
+	if !ok {
+		return object.Object{}, &object.NotFoundError{Key: key}
+	}
+	return found, nil
+}
+
+// List implements object.Reader.
+func (s *Store) List(_ context.Context, prefix string) (object.Batch, error) {
+	if s.fault("list", prefix) != None {
+		return object.Batch{}, &object.OutageError{Err: ErrFault}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch := object.Batch{Revision: s.revision}
+	for key, found := range s.objects {
+		if strings.HasPrefix(key, prefix) {
+			batch.Objects = append(batch.Objects, found)
+		}
+	}
+	slices.SortFunc(batch.Objects, func(a, b object.Object) int { return cmp.Compare(a.Key, b.Key) })
+	return batch, nil
+}
+
+// Watch implements object.Reader. It waits for a change as long as the context
+// allows.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64) (object.Batch, error) {
+	for {
+		switch s.fault("watch", prefix) {
+		case None:
+		case Dropped:
+			return object.Batch{}, &object.CompactedError{Prefix: prefix}
+		default:
+			return object.Batch{}, &object.OutageError{Err: ErrFault}
+		}
+		batch, changed := s.since(prefix, after)
+		if len(batch.Objects) > 0 {
+			return batch, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return object.Batch{}, &object.OutageError{Err: ctx.Err()}
+		}
+	}
+}
+
+func (s *Store) since(prefix string, after uint64) (object.Batch, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch := object.Batch{Revision: s.revision}
+	for _, change := range s.history {
+		if change.Version > after && strings.HasPrefix(change.Key, prefix) {
+			batch.Objects = append(batch.Objects, change)
+		}
+	}
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return batch, s.changed
+}
+
+// Put implements object.Writer.
+func (s *Store) Put(_ context.Context, key string, value []byte, expect uint64) (object.Object, error) {
+	return s.write("put", key, expect, func() (object.Object, error) { return s.put(key, value, expect, false) })
+}
+
+// Delete implements object.Writer.
+func (s *Store) Delete(_ context.Context, key string, expect uint64) error {
+	_, err := s.write("delete", key, expect, func() (object.Object, error) { return s.put(key, nil, expect, true) })
+	return err
+}
+
+func (s *Store) write(op, key string, _ uint64, do func() (object.Object, error)) (object.Object, error) {
+	unknown := &object.UnknownError{Key: key, Err: ErrFault}
+	switch s.fault(op, key) {
+	case Down:
+		return object.Object{}, &object.OutageError{Err: ErrFault}
+	case Lost:
+		_, _ = do()
+		return object.Object{}, unknown
+	case Dropped:
+		return object.Object{}, unknown
+	case Late:
+		s.mu.Lock()
+		s.late = append(s.late, func() { _, _ = do() })
+		s.mu.Unlock()
+		return object.Object{}, unknown
+	case None:
+	}
+	return do()
+}
+
+func (s *Store) put(key string, value []byte, expect uint64, remove bool) (object.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	have := s.objects[key].Version
+	if have != expect {
+		return object.Object{}, &object.ConflictError{Key: key, Want: expect, Have: have}
+	}
+	s.revision++
+	stored := object.Object{Key: key, Version: s.revision, Value: slices.Clone(value), Deleted: remove}
+	if s.objects == nil {
+		s.objects = map[string]object.Object{}
+	}
+	if remove {
+		delete(s.objects, key)
+	} else {
+		s.objects[key] = stored
+	}
+	s.history = append(s.history, stored)
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+	return stored, nil
+}
+
+// Keys returns the keys under a prefix, ordered.
+func (s *Store) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for key := range s.objects {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
