--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -65,6 +65,7 @@
 	s.books[host], s.ends[host], s.dead[host] = book, cancel, false
 	s.mu.Unlock()
 	go book.Run(ctx)
+	Eventually(book.IsOpen, patience).Should(BeTrue())
 	follower := object.Follower{Reader: s.store, Prefix: batch.RecordPrefix, Now: func() time.Duration { return 0 }, Handle: book.Learn}
 	go follower.Run(ctx)
 }
@@ -277,6 +278,12 @@
 		Expect(s.book(host).Accept(ctx, b)).To(Succeed())
 	}
 
+	It("is refused, with a time to come back, by a host that does not run yet", func() {
+		var early batch.Book
+		Expect(early.Accept(ctx, submission("one", "a1"))).To(BeAssignableToTypeOf(&batch.UnavailableError{}))
+		Expect(early.End(ctx, "one", "w")).To(BeAssignableToTypeOf(&batch.UnavailableError{}))
+	})
+
 	It("is served whole and alike by every host, by its body until listed", func() {
 		s.gen.hold["a2"] = make(chan struct{})
 		b := submission("one", "a1", "a2")
--- a/internal/rollout/batch/commands.go
+++ b/internal/rollout/batch/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
@@ -27,11 +28,8 @@
 	if _, ok := b.lookup(batch.ID); ok {
 		return nil
 	}
-	b.mu.Lock()
-	leaving := b.leaving
-	b.mu.Unlock()
-	if leaving {
-		return &UnavailableError{Err: context.Canceled, After: comeBackLeaving}
+	if !b.IsOpen() {
+		return &UnavailableError{Err: errNotOpen, After: comeBackLeaving}
 	}
 	parts, err := split(batch)
 	if err != nil {
@@ -47,6 +45,16 @@
 	return b.create(ctx, batch, record)
 }
 
+// errNotOpen is the cause of refusals at the start and at the end of a host.
+var errNotOpen = errors.New("this host takes no batches now")
+
+// IsOpen says whether the host takes batches now.
+func (b *Book) IsOpen() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ctx != nil && !b.leaving
+}
+
 // create brings the record into being. A write without an answer may take
 // effect seconds later, so it is read back and never called refused.
 func (b *Book) create(ctx context.Context, batch Batch, record Record) error {
@@ -113,13 +121,16 @@
 // of a batch that could not be written now is written later, since its caller
 // may not come back: the error is then an *UnsureError.
 func (b *Book) End(ctx context.Context, id, workspace string) error {
+	b.mu.Lock()
+	working := b.ctx
+	b.mu.Unlock()
+	if working == nil {
+		return &UnavailableError{Err: errNotOpen, After: comeBackLeaving}
+	}
 	err := b.end(ctx, id, workspace)
 	if err == nil || isError[*NotFoundError](err) {
 		return err
 	}
-	b.mu.Lock()
-	working := b.ctx
-	b.mu.Unlock()
 	b.group.Go(func() { b.endLater(working, id, workspace) })
 	return &UnsureError{Err: err}
 }
