--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -457,6 +457,17 @@
 		Eventually(func() []string { return s.listed("h3", "one") }, patience).Should(Equal([]string{"a1"}))
 	})
 
+	// Pattern: hosts restart in turn, and the one next in line is down.
+	It("is handed on past a host that is down", func() {
+		s.gen.hold["a1"] = make(chan struct{})
+		accept("h2", submission("one", "a1"))
+		s.kill("h1") // first in rank
+		s.book("h2").Leave(ctx)
+		s.kill("h2")
+		close(s.gen.hold["a1"])
+		Eventually(func() []string { return s.listed("h3", "one") }, patience).Should(Equal([]string{"a1"}))
+	})
+
 	It("stops its work at its end, told by any host, and stays readable", func() {
 		s.gen.hold["a2"] = make(chan struct{})
 		accept("h1", submission("one", "a1", "a2"))
--- a/internal/rollout/batch/takeover.go
+++ b/internal/rollout/batch/takeover.go
@@ -16,8 +16,9 @@
 	// rankMisses is the number of further misses that each later rank waits, so
 	// that one host at a time tries.
 	rankMisses = 3
-	// watchRanks is the number of hosts that watch over one owner.
-	watchRanks = 3
+	// watchRanks is the number of hosts that watch over one owner: more than a
+	// zone of a small site holds, since zones fail as a whole.
+	watchRanks = 8
 	// leaveRunning is how long a stopping host lets generations finish before it
 	// hands its batches on.
 	leaveRunning = 1500 * time.Millisecond
@@ -27,7 +28,7 @@
 func (b *Book) watchOwners(ctx context.Context) {
 	ticker := time.NewTicker(ownerPoll)
 	defer ticker.Stop()
-	misses := map[string]int{} // by owner
+	misses := map[string]int{} // by owner; by batch where there is none
 	complete := map[string]bool{}
 	for {
 		select {
@@ -65,7 +66,12 @@
 func (b *Book) pingOwners(ctx context.Context, open map[string]known, misses map[string]int) {
 	asked := map[string]bool{}
 	for id, k := range open {
-		if k.Owner == "" || k.Owner == b.Host || asked[k.Owner] || b.Peers.Rank(id, k.Owner) >= watchRanks {
+		if k.Owner == "" {
+			asked[id] = true
+			misses[id]++
+			continue
+		}
+		if k.Owner == b.Host || asked[k.Owner] || b.Peers.Rank(id, k.Owner) >= watchRanks {
 			continue
 		}
 		asked[k.Owner] = true
@@ -94,8 +100,8 @@
 		return true // of this host's life before its restart
 	}
 	rank := b.Peers.Rank(id, k.Owner, k.Last)
-	if k.Owner == "" {
-		return rank == 0
+	if k.Owner == "" { // given up: the first in rank may be gone too
+		return misses[id] > rank*rankMisses
 	}
 	return misses[k.Owner] >= ownerMisses+rank*rankMisses
 }
