--- a/internal/backend/pool/commands.go
+++ b/internal/backend/pool/commands.go
@@ -106,7 +106,18 @@
 // Refused keeps the server from new requests for a moment: it said that it did
 // not run the request.
 func (c *Choice) Refused(now time.Time) {
-	c.change(func(e *entry) { e.until = now.Add(firstBackoff) })
+	c.change(func(e *entry) { c.backOff(e, now, firstBackoff) })
+}
+
+// backOff keeps the server from new requests for a time, and wakes waiters
+// after it.
+func (c *Choice) backOff(e *entry, now time.Time, wait time.Duration) {
+	e.until = now.Add(wait)
+	time.AfterFunc(wait, func() {
+		c.pool.mu.Lock()
+		defer c.pool.mu.Unlock()
+		c.pool.wake()
+	})
 }
 
 // Failed backs off from the server, longer with each failure in a row.
@@ -114,7 +125,7 @@
 	c.change(func(e *entry) {
 		wait := min(firstBackoff<<min(e.fails, 8), maxBackoff)
 		e.fails++
-		e.until = now.Add(wait)
+		c.backOff(e, now, wait)
 		e.prefixes = nil
 	})
 }
--- /dev/null
+++ b/internal/billing/tally/tally_test.go
@@ -0,0 +1,129 @@
+package tally_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/billing/tally"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/lease"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+	"github.com/hyssopwall/hyssopwall/internal/standin/objects"
+)
+
+func TestTally(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Tally Suite")
+}
+
+var _ = Describe("a tally", func() {
+	It("counts by window and forgets old ones", func() {
+		t := tally.Tally{Window: time.Second}
+		at := time.Unix(1000, 0)
+		t.Count(at, "a")
+		t.Count(at.Add(999*time.Millisecond), "a")
+		t.Count(at.Add(time.Second), "b")
+		Expect(t.Of(1000)).To(Equal(tally.Counts{"a": 2}))
+		Expect(t.Of(1001)).To(Equal(tally.Counts{"b": 1}))
+		Expect(t.End(1000)).To(Equal(time.Unix(1001, 0)))
+		t.Count(at.Add(12*time.Second), "a")
+		Expect(t.Of(1000)).To(BeEmpty())
+	})
+})
+
+// receiver notes reports and can lose or refuse some.
+type receiver struct {
+	mu      sync.Mutex
+	reports map[int64][]tally.Counts
+	refuse  int
+}
+
+func (r *receiver) report(_ context.Context, window int64, counts tally.Counts, _ lease.Grant) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reports[window] = append(r.reports[window], counts)
+	if r.refuse > 0 {
+		r.refuse--
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+func (r *receiver) of(window int64) []tally.Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reports[window]
+}
+
+var _ = Describe("a reporter", func() {
+	var (
+		ctx    context.Context
+		cancel context.CancelFunc
+		store  *objects.Store
+		out    *receiver
+		count  *tally.Tally
+		window int64
+	)
+	quiet := event.Log{Sink: func(event.Entry, []any) {}}
+	BeforeEach(func() {
+		ctx, cancel = context.WithCancel(context.Background())
+		store, out = &objects.Store{}, &receiver{reports: map[int64][]tally.Counts{}}
+		count = &tally.Tally{Window: time.Second}
+		now := time.Now().Add(-2 * time.Second) // a window that has ended
+		window = count.At(now)
+		count.Count(now, "w")
+	})
+	AfterEach(func() { cancel() })
+
+	start := func(host string, ask func() (tally.Counts, error)) {
+		holder := &lease.Holder{
+			Host: host, Incarnation: 1, Store: store, Clock: lease.Boot{}, Duties: []string{"d"}, Log: quiet,
+			Config: lease.Config{Term: time.Minute, Margin: time.Second, Flight: time.Second, Renew: time.Second, Poll: 50 * time.Millisecond},
+		}
+		r := &tally.Reporter{
+			Tally: count, Store: store, Holder: holder, Duty: "d", Report: out.report, Log: quiet,
+			Hosts: func() []string { return []string{"other"} },
+			Ask:   func(context.Context, string, int64) (tally.Counts, error) { return ask() },
+		}
+		go holder.Run(ctx)
+		go r.Run(ctx)
+	}
+
+	It("sums the hosts and repeats a report unchanged until it is acknowledged", func() {
+		out.refuse = 2
+		start("h", func() (tally.Counts, error) { return tally.Counts{"w": 2, "v": 1}, nil })
+		Eventually(func() int { return len(out.of(window)) }, 8*time.Second).Should(BeNumerically(">=", 2))
+		for _, counts := range out.of(window) {
+			Expect(counts).To(Equal(tally.Counts{"w": 3, "v": 1}))
+		}
+	})
+
+	// Pattern: the holder fails between sealing and reporting.
+	It("reports what another holder sealed, not what it counts itself", func() {
+		sealed := []byte(`{"w":7}`)
+		_, err := store.Put(ctx, fmt.Sprintf("%s%d", tally.Prefix, window), sealed, 0)
+		Expect(err).NotTo(HaveOccurred())
+		start("h", func() (tally.Counts, error) { return tally.Counts{"w": 100}, nil })
+		Eventually(func() []tally.Counts { return out.of(window) }, 8*time.Second).Should(ContainElement(tally.Counts{"w": 7}))
+		Expect(out.of(window)).NotTo(ContainElement(HaveKeyWithValue("w", 101)))
+	})
+
+	It("seals nothing while the store is away, and reports nothing unsealed", func() {
+		store.Inject(func(op, key string) objects.Fault {
+			if op == "put" && len(key) > len(tally.Prefix) && key[:len(tally.Prefix)] == tally.Prefix {
+				return objects.Down
+			}
+			return objects.None
+		})
+		start("h", func() (tally.Counts, error) { return nil, nil })
+		Consistently(func() []tally.Counts { return out.of(window) }, 900*time.Millisecond).Should(BeEmpty())
+		store.Inject(nil)
+		Eventually(func() []tally.Counts { return out.of(window) }, 8*time.Second).Should(ContainElement(tally.Counts{"w": 1}))
+	})
+})
--- /dev/null
+++ b/internal/entry/forward/forward_test.go
@@ -0,0 +1,168 @@
+package forward_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
+	"github.com/hyssopwall/hyssopwall/internal/entry/forward"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+	"github.com/hyssopwall/hyssopwall/internal/site/policy"
+	"github.com/hyssopwall/hyssopwall/internal/standin/cases"
+)
+
+func TestForward(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Forward Suite")
+}
+
+// script is one case: what servers answer in turn, and how the request ends.
+// Answers that are left over were not asked for.
+type script struct {
+	Pattern  string
+	Kind     policy.Kind
+	Attempts int
+	Servers  int
+	Timeout  int // milliseconds
+	Answers  []answer
+	Want     want
+}
+
+// answer is one of "ok", "fails", "sheds", "down", "breaks" and "hangs".
+type answer string
+
+type want struct {
+	Status  int  // of the answer
+	Refused bool // not run, with a time to come back
+	Failed  bool // may have run
+	Late    bool
+	Sends   int
+	Again   bool // sent more than once, however often
+	Ran     int // requests counted as run
+}
+
+// servers answers by the script.
+type servers struct {
+	mu      sync.Mutex
+	answers []answer
+	sends   int
+	asked   []string
+}
+
+func (s *servers) Send(ctx context.Context, server pool.Server, _ forward.Request) (forward.Answer, error) {
+	s.mu.Lock()
+	s.sends++
+	s.asked = append(s.asked, server.Name)
+	now := answer("ok")
+	if len(s.answers) > 0 {
+		now, s.answers = s.answers[0], s.answers[1:]
+	}
+	s.mu.Unlock()
+	switch now {
+	case "fails":
+		return forward.Answer{Status: http.StatusInternalServerError, Signature: "s"}, nil
+	case "sheds":
+		return forward.Answer{}, &forward.NotRunError{Reason: "full"}
+	case "down":
+		return forward.Answer{}, &forward.NotRunError{Reason: "connect", Down: true}
+	case "breaks":
+		return forward.Answer{}, &forward.BrokenError{Reason: "cut", Err: errors.New("reset")}
+	case "hangs":
+		<-ctx.Done()
+		return forward.Answer{}, &forward.BrokenError{Reason: "no answer", Err: ctx.Err()}
+	}
+	return forward.Answer{Status: http.StatusOK, Signature: "s", Body: []byte("b")}, nil
+}
+
+func (s *servers) count() (int, []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sends, append([]string(nil), s.asked...)
+}
+
+func pooled(n int) *pool.Pool {
+	p := &pool.Pool{}
+	var list []pool.Server
+	for i := range n {
+		list = append(list, pool.Server{Name: string(rune('a' + i)), Service: "s", Slots: 4})
+	}
+	p.Replace(list)
+	return p
+}
+
+var quiet = event.Log{Sink: func(event.Entry, []any) {}}
+
+var _ = Describe("a plain request", func() {
+	all, err := cases.Load[script]("testdata/*.hujson")
+	if err != nil {
+		panic(err)
+	}
+	for _, c := range all {
+		It(c.Name+": "+c.Data.Pattern, func(ctx SpecContext) {
+			data := c.Data
+			sender := &servers{answers: data.Answers}
+			ran := 0
+			f := &forward.Forwarder{Pool: pooled(data.Servers), Sender: sender, Ran: func(string) { ran++ }, Log: quiet}
+			route := policy.Route{
+				Name: "r", Kind: data.Kind, Attempts: data.Attempts, Targets: []policy.Target{{Service: "s", Weight: 1}},
+				Target: 10 * time.Second, Timeout: time.Duration(max(data.Timeout, 20_000)) * time.Millisecond,
+			}
+			if data.Timeout > 0 {
+				route.Timeout = time.Duration(data.Timeout) * time.Millisecond
+			}
+			got, err := f.Do(ctx, route, forward.Request{ID: "x", Workspace: "w"})
+			data.Want.check(got, err)
+			sends, asked := sender.count()
+			if data.Want.Again {
+				Expect(sends).To(BeNumerically(">", 1))
+			} else {
+				Expect(sends).To(Equal(data.Want.Sends))
+			}
+			Expect(ran).To(Equal(data.Want.Ran))
+			if len(asked) > 1 && data.Servers > 1 {
+				Expect(asked[1]).NotTo(Equal(asked[0]), "another server is tried first")
+			}
+		})
+	}
+
+	It("asks a second server when the first is slow", func(ctx SpecContext) {
+		sender := &servers{answers: []answer{"hangs", "ok"}}
+		f := &forward.Forwarder{Pool: pooled(2), Sender: sender, Ran: func(string) {}, Log: quiet}
+		route := policy.Route{Name: "r", Kind: policy.Safe, Attempts: 2, Targets: []policy.Target{{Service: "s", Weight: 1}}, Target: time.Millisecond, Timeout: time.Minute}
+		got, err := f.Do(ctx, route, forward.Request{ID: "x"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.Status).To(Equal(http.StatusOK))
+	})
+
+	It("ends with its caller", func(ctx SpecContext) {
+		left, leave := context.WithCancel(ctx)
+		sender := &servers{answers: []answer{"hangs"}}
+		f := &forward.Forwarder{Pool: pooled(1), Sender: sender, Ran: func(string) {}, Log: quiet}
+		route := policy.Route{Name: "r", Kind: policy.Unsafe, Targets: []policy.Target{{Service: "s", Weight: 1}}, Timeout: time.Minute}
+		time.AfterFunc(20*time.Millisecond, leave)
+		_, err := f.Do(left, route, forward.Request{ID: "x"})
+		Expect(err).To(MatchError(context.Canceled))
+	})
+})
+
+func (w want) check(got forward.Answer, err error) {
+	GinkgoHelper()
+	refused, isRefused := errors.AsType[*forward.RefusedError](err)
+	failed, isFailed := errors.AsType[*forward.FailedError](err)
+	Expect(isRefused).To(Equal(w.Refused), "%v", err)
+	Expect(isFailed).To(Equal(w.Failed), "%v", err)
+	if isRefused {
+		Expect(refused.After).To(BeNumerically(">", 0))
+	}
+	if isFailed {
+		Expect(failed.Late).To(Equal(w.Late))
+	}
+	Expect(got.Status).To(Equal(w.Status))
+}
