Let the hosts of a large zone follow two watchers instead of the store

Cause: every host watched four kinds of objects; at 56 hosts the calls cost more than half of what was earned.

--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -45,7 +45,7 @@
 	Late    bool
 	Sends   int
 	Again   bool // sent more than once, however often
-	Ran     int // requests counted as run
+	Ran     int  // requests counted as run
 }
 
 // servers answers by the script.
--- a/internal/host/node/learn.go
+++ b/internal/host/node/learn.go
@@ -15,17 +15,13 @@
 // learnPolicy takes in a change of the configuration, or the proof that there
 // is none.
 func (n *Node) learnPolicy(change object.Change) {
-	known := max(change.Sent, clock()-doubt)
-	if change.Whole {
-		known = change.Sent
-	}
 	for _, o := range change.Objects {
 		if o.Key == n.Outside.Keys.Policy && !o.Deleted {
 			n.apply(o)
 		}
 	}
 	if n.Policy() != nil {
-		n.news.Store(max(n.news.Load(), int64(known)))
+		n.news.Store(max(n.news.Load(), int64(change.Known)))
 	}
 }
 
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/hyssopwall/hyssopwall/internal/fleet/lease"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/peer"
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/platform/rest"
 	"github.com/hyssopwall/hyssopwall/internal/rollout/batch"
 	"github.com/hyssopwall/hyssopwall/internal/rollout/release"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
@@ -84,9 +85,14 @@
 	policyWait = 1500 * time.Millisecond
 	// listWait is how long other watches wait; each call is billed.
 	listWait = 20 * time.Second
-	// doubt is how far behind a watch that ended without news may be: a slow
-	// answer, or changes made while watches hear nothing for a second.
-	doubt = 1200 * time.Millisecond
+	// followWait is how long calls to a watcher of the zone wait; it adds to the
+	// age of the news.
+	followWait = 500 * time.Millisecond
+	// watcherWait is how long the watches of a watcher wait: its followers take an
+	// answer as proof that it still hears the store.
+	watcherWait = 600 * time.Millisecond
+	// peerDial bounds a new connection to another host, a millisecond away.
+	peerDial = 400 * time.Millisecond
 	// revokeMargin is kept of the bound for withdrawn keys, for the time from a
 	// caller's sending to the check.
 	revokeMargin = 300 * time.Millisecond
@@ -138,6 +144,7 @@
 
 	store    object.Store
 	health   peer.Health
+	mirrors  map[string]*peer.Mirror // by prefix
 	holder   *lease.Holder
 	reporter *tally.Reporter
 	roller   *release.Roller
@@ -162,8 +169,12 @@
 	n.Tally = &tally.Tally{Window: settings.Window}
 	n.Directory = &peer.Directory{Self: peer.Host{
 		Name: settings.Host, Zone: settings.Zone, Address: settings.Internal, Incarnation: n.Incarnation,
-	}}
+	}, HTTP: rest.Connections{Dial: peerDial}.Client()}
 	n.store = n.reach(object.WatchWait)
+	n.mirrors = map[string]*peer.Mirror{}
+	for _, prefix := range []string{outside.Keys.PolicyKind, outside.Keys.Servers, peer.Prefix, batch.RecordPrefix} {
+		n.mirrors[prefix] = &peer.Mirror{Now: clock}
+	}
 	n.Forwarder = &forward.Forwarder{
 		Pool: n.Pool, Sender: outside.Sender, Log: log,
 		Ran: func(workspace string) { n.Tally.Count(time.Now(), workspace) },
@@ -246,7 +257,7 @@
 func (n *Node) parts(ctx context.Context) []func() {
 	keys := n.Outside.Keys
 	follow := func(wait time.Duration, prefix string, handle func(object.Change)) func() {
-		return func() { n.follower(wait, prefix, handle).Run(ctx) }
+		return func() { n.mirrored(wait, prefix, handle).Run(ctx) }
 	}
 	return []func(){
 		follow(policyWait, keys.PolicyKind, n.learnPolicy),
@@ -271,6 +282,17 @@
 	return object.Follower{Reader: n.reach(wait), Prefix: prefix, Now: clock, Handle: handle}
 }
 
+// mirrored returns a follower of what all hosts follow: from a watcher of the
+// zone, or from the store for the others to follow.
+func (n *Node) mirrored(wait time.Duration, prefix string, handle func(object.Change)) object.Follower {
+	mirror := n.mirrors[prefix]
+	source := &peer.Source{Direct: n.reach(wait), Brief: n.reach(watcherWait), Directory: n.Directory, Wait: followWait}
+	return object.Follower{Reader: source, Prefix: prefix, Now: clock, Lost: mirror.Lost, Handle: func(change object.Change) {
+		handle(change)
+		mirror.Learn(change, source.IsDirect())
+	}}
+}
+
 // reach returns the store, directly or through a peer, with a wait of its
 // watches. Calls are counted where they reach the store.
 func (n *Node) reach(wait time.Duration) object.Store {
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -85,6 +85,7 @@
 		n.Book.Ended(r.ID)
 		return empty{}
 	})
+	peer.ServeMirrors(mux, n.mirrors)
 	peer.ServeRelay(mux, n.direct, &n.health)
 	return mux
 }
--- a/internal/platform/object/follow.go
+++ b/internal/platform/object/follow.go
@@ -24,22 +24,24 @@
 func (e *CompactedError) Error() string { return "history of " + e.Prefix + " was compacted" }
 
 // Change is what a follower hands on: all objects of a prefix when Whole is
-// set, else those that changed. Sent is when the call that brought it was sent,
-// by the follower's clock.
+// set, else those that changed. Known is the instant of the follower's clock at
+// which, at the earliest, the store was as the follower now knows it.
 type Change struct {
 	Batch
 	Whole bool
-	Sent  time.Duration
+	Known time.Duration
 }
 
 // Follower keeps up with the objects under a prefix. Now is a clock that counts
 // suspend. Handle is called by one goroutine, also for a watch that ended
-// without a change, since that shows that nothing has changed.
+// without a change, since that shows that nothing has changed. Lost, when set,
+// is called for each failed call.
 type Follower struct {
 	Reader Reader
 	Prefix string
 	Now    func() time.Duration
 	Handle func(Change)
+	Lost   func(error)
 }
 
 // Run lists once and then watches, until the context ends.
@@ -57,6 +59,9 @@
 			listed = false
 			continue
 		}
+		if f.Lost != nil {
+			f.Lost(err)
+		}
 		sleep(ctx, retry/2+rand.N(retry))
 		retry = min(2*retry, lastFollowRetry)
 	}
@@ -66,10 +71,10 @@
 	sent := f.Now()
 	if !listed {
 		batch, err := f.Reader.List(ctx, f.Prefix)
-		return Change{Batch: batch, Whole: true, Sent: sent}, err
+		return Change{Batch: batch, Whole: true, Known: sent - batch.Age}, err
 	}
 	batch, err := f.Reader.Watch(ctx, f.Prefix, after)
-	return Change{Batch: batch, Sent: sent}, err
+	return Change{Batch: batch, Known: sent + batch.Held - batch.Age}, err
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/internal/platform/object/follow_test.go
@@ -0,0 +1,75 @@
+package object_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/platform/object"
+	"github.com/hyssopwall/hyssopwall/internal/standin/objects"
+)
+
+// Pattern: the store is away, cuts watches, and drops its history.
+var _ = Describe("a follower", func() {
+	It("misses no object through outages and a compaction", func() {
+		store := &objects.Store{}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var mu sync.Mutex
+		seen := map[string]bool{}
+		wholes := 0
+		has := func(key string) func() bool {
+			return func() bool {
+				mu.Lock()
+				defer mu.Unlock()
+				return seen[key]
+			}
+		}
+		follower := object.Follower{Reader: store, Prefix: "k/", Now: func() time.Duration { return 7 }, Handle: func(c object.Change) {
+			mu.Lock()
+			defer mu.Unlock()
+			Expect(c.Known).To(Equal(time.Duration(7)))
+			if c.Whole {
+				wholes++
+			}
+			for _, o := range c.Objects {
+				seen[o.Key] = !o.Deleted
+			}
+		}}
+		_, err := store.Put(ctx, "k/a", nil, 0)
+		Expect(err).NotTo(HaveOccurred())
+		go follower.Run(ctx)
+		Eventually(has("k/a")).Should(BeTrue())
+
+		store.Inject(func(op, _ string) objects.Fault {
+			if op == "watch" || op == "list" {
+				return objects.Down
+			}
+			return objects.None
+		})
+		_, err = store.Put(ctx, "k/b", nil, 0)
+		Expect(err).NotTo(HaveOccurred())
+		store.Inject(nil)
+		Eventually(has("k/b"), 5*time.Second).Should(BeTrue())
+
+		compacted := false
+		store.Inject(func(op, _ string) objects.Fault {
+			if op == "watch" && !compacted {
+				compacted = true
+				return objects.Dropped
+			}
+			return objects.None
+		})
+		_, err = store.Put(ctx, "k/c", nil, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(has("k/c"), 5*time.Second).Should(BeTrue())
+		Expect(store.Delete(ctx, "k/c", 3)).To(Succeed())
+		Eventually(has("k/c"), 5*time.Second).Should(BeFalse())
+		mu.Lock()
+		defer mu.Unlock()
+		Expect(wholes).To(Equal(2), "listed at the start and after the compaction")
+	})
+})
--- a/internal/platform/object/object.go
+++ b/internal/platform/object/object.go
@@ -25,10 +25,14 @@
 }
 
 // Batch is the answer of a list or of a watch: the objects and the revision
-// from which the next watch continues.
+// from which the next watch continues. Age is by how much the answer may have
+// been behind the store when it was made, for readers that are not the store;
+// Held is for how long a watch without a change was certainly waiting.
 type Batch struct {
-	Objects  []Object `json:"objects"`
-	Revision uint64   `json:"revision"`
+	Objects  []Object      `json:"objects"`
+	Revision uint64        `json:"revision"`
+	Age      time.Duration `json:"-" cbor:"-"`
+	Held     time.Duration `json:"-" cbor:"-"`
 }
 
 // Reader holds the queries of the object API.
--- a/internal/site/journal/journal.go
+++ b/internal/site/journal/journal.go
@@ -63,13 +63,22 @@
 	reported := time.Time{}
 	for l := range j.lines {
 		put(out, l)
-		if n := j.dropped.Load(); n > 0 && l.at.Sub(reported) >= reportEvery {
+		if l.at.Sub(reported) >= reportEvery && j.report(out, l.at) {
 			reported = l.at
-			j.dropped.Add(-n)
-			entry, _ := event.Find(event.LinesDropped)
-			put(out, line{l.at, entry, []any{"lines", n}})
 		}
 	}
+	j.report(out, time.Now())
+}
+
+// report says how many lines were dropped since the last report, if any.
+func (j *Journal) report(out *slog.Logger, now time.Time) bool {
+	n := j.dropped.Swap(0)
+	if n == 0 {
+		return false
+	}
+	entry, _ := event.Find(event.LinesDropped)
+	put(out, line{now, entry, []any{"lines", n}})
+	return true
 }
 
 func put(out *slog.Logger, l line) {
