--- a/internal/entry/forward/run.go
+++ b/internal/entry/forward/run.go
@@ -354,11 +354,11 @@
 	if err == nil && r.legs == 1 && answer.Status < http.StatusInternalServerError {
 		return
 	}
-	outcome := "answered"
+	status, outcome := answer.Status, "answered"
 	if err != nil {
 		outcome = err.Error()
 	}
 	f.Log.Emit(event.RequestEnded, "request", request.ID, "route", route.Name, "workspace", request.Workspace,
-		"status", answer.Status, "outcome", outcome, "servers", r.tried, "sends", r.legs, "refusals", r.refused,
+		"status", status, "outcome", outcome, "servers", r.tried, "sends", r.legs, "refusals", r.refused,
 		"last", reason(r.last), "ms", time.Since(r.started).Milliseconds())
 }
