--- a/internal/host/node/learn.go
+++ b/internal/host/node/learn.go
@@ -119,7 +119,7 @@
 		}
 		model, version, err := n.Outside.Release(o.Value)
 		if err != nil {
-			n.Log.Emit(event.ServerIgnored, "entry", o.Key, "revision", o.Version, "err", err.Error())
+			n.Log.Emit(event.ServerIgnored, "entry", entryName(o), "revision", o.Version, "err", err.Error())
 			continue
 		}
 		n.roller.Learn(model, version)
@@ -127,6 +127,9 @@
 	}
 }
 
+// entryName returns the kind and name of an object that others write.
+func entryName(o object.Object) string { return o.Key }
+
 // learnRetirements answers that a host with a disk is empty: nothing that lasts
 // is kept on disks.
 func (n *Node) learnRetirements(ctx context.Context) func(object.Change) {
@@ -137,7 +140,7 @@
 			}
 			err := n.Outside.Retire(ctx, o)
 			n.retired[o.Key] = err == nil
-			n.Log.Emit(event.HostRetired, "entry", o.Key, "done", err == nil)
+			n.Log.Emit(event.HostRetired, "entry", entryName(o), "done", err == nil)
 		}
 	}
 }
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -96,6 +96,9 @@
 	// revokeMargin is kept of the bound for withdrawn keys, for the time from a
 	// caller's sending to the check.
 	revokeMargin = 300 * time.Millisecond
+	// lostAfter is how long the store has to answer no call before that is logged:
+	// single calls fail on ordinary days.
+	lostAfter = 800 * time.Millisecond
 	// readyAge is the age of the news at which a host asks for no more callers.
 	// It is above the age that a host reaches between two watches.
 	readyAge = 3800 * time.Millisecond
@@ -144,6 +147,7 @@
 
 	store    object.Store
 	health   peer.Health
+	outage   object.Outage
 	mirrors  map[string]*peer.Mirror // by prefix
 	holder   *lease.Holder
 	reporter *tally.Reporter
@@ -164,6 +168,7 @@
 // New assembles a host.
 func New(settings Settings, outside Outside, log event.Log) *Node {
 	n := &Node{Settings: settings, Outside: outside, Log: log, Incarnation: uint64(time.Now().UnixNano()), done: make(chan struct{}), retired: map[string]bool{}}
+	n.outage.Patience = lostAfter
 	n.Meter = meter.New()
 	n.Pool = &pool.Pool{Zone: settings.Zone}
 	n.Tally = &tally.Tally{Window: settings.Window}
@@ -300,7 +305,7 @@
 }
 
 func (n *Node) direct(wait time.Duration) object.Store {
-	return &object.Monitor{Store: n.Outside.Watcher(wait), Log: n.Log, Vars: n.Meter}
+	return &object.Monitor{Store: n.Outside.Watcher(wait), Log: n.Log, Vars: n.Meter, Outage: &n.outage}
 }
 
 type listeners struct {
--- a/internal/platform/object/monitor.go
+++ b/internal/platform/object/monitor.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
 )
@@ -20,8 +21,22 @@
 	// "platform.CALL.failed".
 	Vars Counter
 
-	mu   sync.Mutex
-	lost bool
+	// Outage, when set, is shared by the monitors of a host, so that each loss
+	// and return is logged once.
+	Outage *Outage
+
+	own Outage
+}
+
+// Outage knows whether the platform is lost. Patience is how long it has to
+// answer no call before it counts as lost; zero takes the first failure. The
+// zero value is ready and safe for concurrent use.
+type Outage struct {
+	Patience time.Duration
+
+	mu       sync.Mutex
+	lost     bool
+	answered time.Time // the latest answer
 }
 
 // Counter counts by name; an *expvar.Map is one.
@@ -74,7 +89,11 @@
 	if m.Vars != nil && down {
 		m.Vars.Add("platform."+call+".failed", 1)
 	}
-	if errors.Is(err, context.Canceled) || !m.turn(down) {
+	outage := m.Outage
+	if outage == nil {
+		outage = &m.own
+	}
+	if errors.Is(err, context.Canceled) || !outage.turn(down, time.Now()) {
 		return
 	}
 	if down {
@@ -84,13 +103,19 @@
 	m.Log.Emit(event.PlatformBack, "call", call)
 }
 
-// turn returns whether the platform was lost or came back.
-func (m *Monitor) turn(down bool) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	changed := m.lost != down
-	m.lost = down
-	return changed
+// turn takes in the end of a call and returns whether the platform was lost or
+// came back with it.
+func (o *Outage) turn(down bool, now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !down {
+		o.answered = now
+	}
+	if o.lost == down || down && now.Sub(o.answered) < o.Patience {
+		return false
+	}
+	o.lost = down
+	return true
 }
 
 // unreachable says whether a call failed for want of an answer. A refusal, such
--- a/internal/platform/object/monitor_test.go
+++ b/internal/platform/object/monitor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -10,6 +11,7 @@
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
 	"github.com/hyssopwall/hyssopwall/internal/standin/fault"
+	"github.com/hyssopwall/hyssopwall/internal/standin/objects"
 	"github.com/hyssopwall/hyssopwall/internal/standin/platform"
 )
 
@@ -44,3 +46,35 @@
 		Expect(vars.Get("platform.put.failed").String()).To(Equal("1"))
 	})
 })
+
+var _ = Describe("monitors of one host", func() {
+	// Pattern: six followers and the calls of a host meet the same outage.
+	It("log its loss and its return once, and not for a single failure", func(ctx SpecContext) {
+		store := &objects.Store{}
+		down := false
+		store.Inject(func(string, string) objects.Fault {
+			if down {
+				return objects.Down
+			}
+			return objects.None
+		})
+		var logged []event.Number
+		log := event.Log{Sink: func(e event.Entry, _ []any) { logged = append(logged, e.Number) }}
+		outage := &object.Outage{Patience: 30 * time.Millisecond}
+		one := &object.Monitor{Store: store, Log: log, Outage: outage}
+		two := &object.Monitor{Store: store, Log: log, Outage: outage}
+		call := func() {
+			_, _ = one.List(ctx, "k/")
+			_, _ = two.List(ctx, "k/")
+		}
+		call()
+		down = true
+		call()
+		Expect(logged).To(BeEmpty())
+		time.Sleep(40 * time.Millisecond)
+		call()
+		down = false
+		call()
+		Expect(logged).To(Equal([]event.Number{event.PlatformLost, event.PlatformBack}))
+	})
+})
--- a/internal/rollout/batch/objects.go
+++ b/internal/rollout/batch/objects.go
@@ -25,7 +25,8 @@
 	store object.Store
 }
 
-func bodyKey(id string, part int) string      { return fmt.Sprintf("%s%s.%d", BodyPrefix, id, part) }
+func bodyKey(id string, part int) string { return fmt.Sprintf("%s%s.%d", BodyPrefix, id, part) }
+
 func logKey(id string, chunk int) string      { return fmt.Sprintf("%s%s.%05d", LogPrefix, id, chunk) }
 func missing(err error) bool                  { return isError[*object.NotFoundError](err) }
 func conflicts(err error) bool                { return isError[*object.ConflictError](err) }
