--- a/internal/entry/forward/run.go
+++ b/internal/entry/forward/run.go
@@ -70,7 +70,7 @@
 	defer cancel()
 	r := &run{
 		Forwarder: f, route: route, request: request, budget: budget, delay: delay,
-		service: route.Choose(rand.Float64()), //nolint:gosec // a draw among targets needs no secrecy
+		service: route.Choose(rand.Float64()),
 		started: time.Now(), end: time.Now().Add(left),
 		results: make(chan result, max(route.Attempts, attempt.DefaultTries)+refusals),
 		state: attempt.State{
--- a/internal/fleet/peer/relay.go
+++ b/internal/fleet/peer/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -171,8 +172,8 @@
 		if !unreached(err) || ctx.Err() != nil {
 			return reply, err
 		}
-		r.Health.lost(r.probe)
-		call.Wait = 0 // a lost watch is listed or watched again at once
+		r.Health.lost(r.probe) //nolint:contextcheck // the probe goes on after the call that found the loss
+		call.Wait = 0          // a lost watch is listed or watched again at once
 	}
 	reply, err := r.ask(ctx, call)
 	return reply, err
@@ -220,7 +221,7 @@
 	if len(near) > 1 && len(far) > 0 {
 		near = near[:1]
 	}
-	all := append(near, far...)
+	all := slices.Concat(near, far)
 	return all[:min(relayTries, len(all))]
 }
 
--- a/internal/rollout/batch/commands.go
+++ b/internal/rollout/batch/commands.go
@@ -68,7 +68,7 @@
 		switch {
 		case err == nil:
 			b.learn(batch.ID, record, stored.Version)
-			b.begin(batch, record, nil, 0)
+			b.begin(batch, record, nil, 0) //nolint:contextcheck // the work outlives the call
 			return nil
 		case conflicts(err):
 			return b.adoptOwn(ctx, batch)
@@ -93,7 +93,7 @@
 	}
 	b.learn(batch.ID, record, version)
 	if record.Owner == b.Host && record.Incarnation == b.Incarnation && !record.Ended {
-		b.begin(batch, record, nil, 0)
+		b.begin(batch, record, nil, 0) //nolint:contextcheck // the work outlives the call
 	}
 	return nil
 }
@@ -120,7 +120,7 @@
 // End ends a batch of a workspace. It returns once the record says so. The end
 // of a batch that could not be written now is written later, since its caller
 // may not come back: the error is then an *UnsureError.
-func (b *Book) End(ctx context.Context, id, workspace string) error {
+func (b *Book) End(ctx context.Context, id, workspace string) error { //nolint:contextcheck // what is left goes on after the call
 	b.mu.Lock()
 	working := b.ctx
 	b.mu.Unlock()
@@ -151,7 +151,7 @@
 	}
 	b.learn(id, record, version)
 	if record.Owner != b.Host {
-		b.group.Go(func() { b.tell(record.Owner, id) })
+		b.group.Go(func() { b.tell(record.Owner, id) }) //nolint:contextcheck // goes on after the call
 	}
 	return nil
 }
--- a/internal/rollout/batch/takeover.go
+++ b/internal/rollout/batch/takeover.go
@@ -138,7 +138,7 @@
 	b.learn(id, record, version)
 	if record.Owner == b.Host && record.Incarnation == b.Incarnation && !record.Ended {
 		b.Log.Emit(event.BatchTaken, "batch", id, "from", k.Owner, "epoch", record.Epoch, "listed", len(log))
-		b.begin(batch, record, log, len(chunks))
+		b.begin(batch, record, log, len(chunks)) //nolint:contextcheck // the work outlives the look at owners
 	}
 	return false
 }
