--- a/internal/entry/forward/run.go
+++ b/internal/entry/forward/run.go
@@ -6,12 +6,14 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
 	"github.com/hyssopwall/hyssopwall/internal/entry/attempt"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
+	"github.com/hyssopwall/hyssopwall/internal/site/meter"
 	"github.com/hyssopwall/hyssopwall/internal/site/policy"
 )
 
@@ -48,6 +50,7 @@
 	Sender Sender
 	Ran    func(workspace string)
 	Log    event.Log
+	Meter  *meter.Meter // may be nil
 
 	mu      sync.Mutex
 	budgets map[string]*attempt.Budget
@@ -348,9 +351,25 @@
 	}
 }
 
+// outcomeOf names the end of a request for the counters.
+func outcomeOf(answer Answer, err error) string {
+	if _, refused := errors.AsType[*RefusedError](err); refused {
+		return "refused"
+	}
+	if failed, ok := errors.AsType[*FailedError](err); ok && failed.Late {
+		return "late"
+	}
+	if err != nil {
+		return "broken"
+	}
+	return strconv.Itoa(answer.Status)
+}
+
 // note logs how a request ended; whole answers at the first server are left to
 // the counters.
 func (f *Forwarder) note(route policy.Route, request Request, r *run, answer Answer, err error) {
+	f.Meter.Count("requests_total", "route", route.Name, "outcome", outcomeOf(answer, err))
+	f.Meter.Time("request_seconds", time.Since(r.started), "route", route.Name)
 	if err == nil && r.legs == 1 && answer.Status < http.StatusInternalServerError {
 		return
 	}
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -175,24 +175,50 @@
 	n.Directory = &peer.Directory{Self: peer.Host{
 		Name: settings.Host, Zone: settings.Zone, Address: settings.Internal, Incarnation: n.Incarnation,
 	}, HTTP: rest.Connections{Dial: peerDial}.Client()}
+	n.Log = log.Tap(func(e event.Entry) { n.Meter.Count("events_total", "event", e.Number.String()) })
 	n.store = n.reach(object.WatchWait)
 	n.mirrors = map[string]*peer.Mirror{}
 	for _, prefix := range []string{outside.Keys.PolicyKind, outside.Keys.Servers, peer.Prefix, batch.RecordPrefix} {
 		n.mirrors[prefix] = &peer.Mirror{Now: clock}
 	}
 	n.Forwarder = &forward.Forwarder{
-		Pool: n.Pool, Sender: outside.Sender, Log: log,
+		Pool: n.Pool, Sender: outside.Sender, Log: n.Log, Meter: n.Meter,
 		Ran: func(workspace string) { n.Tally.Count(time.Now(), workspace) },
 	}
 	n.Book = &batch.Book{
 		Host: settings.Host, Incarnation: n.Incarnation, Store: n.store, Peers: peers{n.Directory},
 		Pool: n.Pool, Engine: outside.Engine, Scores: scores{n}, Policy: n.Policy,
-		Reaches: func() bool { return n.age() < reachAge }, Log: log,
+		Reaches: func() bool { return n.age() < reachAge }, Log: n.Log, Meter: n.Meter,
 	}
+	n.gauges()
 	n.duties()
 	return n
 }
 
+// gauges shows what operators look at first.
+func (n *Node) gauges() {
+	n.Meter.Gauge("news_age_seconds", func() float64 { return n.age().Seconds() })
+	n.Meter.Gauge("batches_open", func() float64 { return float64(n.Book.Open()) })
+	n.Meter.Gauge("ready", func() float64 { return truth(n.Ready()) })
+	n.Meter.Gauge("duty_held", func() float64 {
+		_, held := n.holder.Held(Duty)
+		return truth(held)
+	})
+	n.Meter.Gauge("configuration_version", func() float64 {
+		if p := n.Policy(); p != nil {
+			return float64(p.Version)
+		}
+		return 0
+	})
+}
+
+func truth(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func (n *Node) duties() {
 	n.holder = &lease.Holder{
 		Host: n.Settings.Host, Incarnation: n.Incarnation, Store: n.store, Clock: lease.Boot{},
--- a/internal/host/node/node_test.go
+++ b/internal/host/node/node_test.go
@@ -187,6 +187,15 @@
 		}
 		Eventually(ready, 8*time.Second).Should(Equal(http.StatusOK))
 
+		shown, err := http.Get("http://" + settings.Metrics)
+		Expect(err).NotTo(HaveOccurred())
+		text, err := io.ReadAll(shown.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(shown.Body.Close()).To(Succeed())
+		Expect(string(text)).To(ContainSubstring("hyssopwall_configuration_version 3"))
+		Expect(string(text)).To(ContainSubstring("hyssopwall_platform_list_config"))
+		Expect(string(text)).To(ContainSubstring(`hyssopwall_events_total{event="HW4006"} 1`))
+
 		body := make(chan string, 1)
 		go func() {
 			defer GinkgoRecover()
--- a/internal/rollout/batch/book.go
+++ b/internal/rollout/batch/book.go
@@ -9,6 +9,7 @@
 	"github.com/hyssopwall/hyssopwall/internal/entry/forward"
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
+	"github.com/hyssopwall/hyssopwall/internal/site/meter"
 	"github.com/hyssopwall/hyssopwall/internal/site/policy"
 )
 
@@ -121,6 +122,7 @@
 	// Reaches says whether the store answered lately.
 	Reaches func() bool
 	Log     event.Log
+	Meter   *meter.Meter // may be nil
 
 	mu       sync.Mutex
 	ctx      context.Context
--- a/internal/rollout/batch/generate.go
+++ b/internal/rollout/batch/generate.go
@@ -119,6 +119,8 @@
 // run generates the item, beginning with a place that was picked. It returns
 // false when the context ended first.
 func (g *generation) run(ctx context.Context, choice *pool.Choice) (Result, bool) {
+	started := time.Now()
+	defer func() { g.Meter.Time("item_seconds", time.Since(started), "route", g.batch.Route) }()
 	defer func() { g.leave(g.item.ID, Partial{Texts: g.texts, Versions: g.versions, Whole: g.whole}) }()
 	if g.whole {
 		return g.score(ctx)
@@ -184,6 +186,7 @@
 }
 
 func (g *generation) note(choice *pool.Choice, err error) {
+	g.Meter.Count("generations_broken_total", "server", choice.Server.Name)
 	g.Log.Emit(event.GenerationBroken, "item", g.item.ID, "batch", g.batch.ID, "server", choice.Server.Name,
 		"events", len(g.texts), "run", g.runs, "fails", g.fails, "err", err.Error())
 }
--- a/internal/rollout/batch/work.go
+++ b/internal/rollout/batch/work.go
@@ -176,6 +176,7 @@
 		switch {
 		case err == nil:
 			w.wrote = time.Now()
+			w.Meter.Time("results_write_seconds", w.wrote.Sub(began))
 			w.publish(chunk, results)
 			return true
 		case conflicts(err):
--- a/internal/site/event/event.go
+++ b/internal/site/event/event.go
@@ -53,6 +53,18 @@
 	if !ok {
 		entry = Entry{Number: number, Severity: Error, Text: "event without a catalog entry"}
 	}
+	l.deliver(entry, pairs)
+}
+
+// Tap returns a log that shows each event to tap before it passes it on.
+func (l Log) Tap(tap func(Entry)) Log {
+	return Log{Sink: func(entry Entry, pairs []any) {
+		tap(entry)
+		l.deliver(entry, pairs)
+	}}
+}
+
+func (l Log) deliver(entry Entry, pairs []any) {
 	if l.Sink != nil {
 		l.Sink(entry, pairs)
 		return
