Pace the watches, and let those of watchers wait as long as each kind allows

Cause: eight watchers looked at hosts, batches and the configuration every 0.6 s though only servers need it, and again for each single change: 4,233 of 5,430 calls of 40 s were watches.

--- a/internal/fleet/peer/mirror.go
+++ b/internal/fleet/peer/mirror.go
@@ -21,10 +21,6 @@
 	// fewHosts.
 	watchers = 2
 	fewHosts = 4
-	// silence is the time since the latest answer of the store after which a
-	// watcher is no source for others: with the wait of their calls it stays
-	// within the time in which a leaving server gets no new work (2 s).
-	silence = time.Second
 	// followMargin is the time beyond its wait that a call to a watcher may take.
 	followMargin = 700 * time.Millisecond
 	// shunned is how long a watcher that failed is not asked.
@@ -35,9 +31,12 @@
 )
 
 // Mirror holds the objects under one prefix as a host knows them, for other
-// hosts to follow. Now is the host's clock. It is safe for concurrent use.
+// hosts to follow. Now is the host's clock. Silence is the time since the latest
+// answer of the store after which the host is no source for others. It is safe
+// for concurrent use.
 type Mirror struct {
-	Now func() time.Duration
+	Now     func() time.Duration
+	Silence time.Duration
 
 	mu       sync.Mutex
 	objects  map[string]object.Object
@@ -131,7 +130,7 @@
 		m.changed = make(chan struct{})
 	}
 	now := m.Now()
-	reply := followReply{Live: m.live && now-m.heard < silence, Age: now - m.known}
+	reply := followReply{Live: m.live && now-m.heard < m.Silence, Age: now - m.known}
 	reply.Batch.Revision = max(after, m.revision)
 	switch {
 	case !reply.Live:
@@ -167,7 +166,7 @@
 // object.Reader; one goroutine uses it.
 type Source struct {
 	Direct    object.Reader // for a host that watches for itself
-	Brief     object.Reader // for a watcher of others: its watches wait less than silence
+	Brief     object.Reader // for a watcher of others: its watches wait less than Mirror.Silence
 	Directory *Directory
 	Wait      time.Duration // of calls to watchers
 
--- a/internal/fleet/peer/mirror_test.go
+++ b/internal/fleet/peer/mirror_test.go
@@ -55,7 +55,7 @@
 	}
 	BeforeEach(func() {
 		time0, store = &clock{now: time.Hour}, &objects.Store{}
-		mirror = &peer.Mirror{Now: time0.Now}
+		mirror = &peer.Mirror{Now: time0.Now, Silence: time.Second}
 		mux := http.NewServeMux()
 		peer.ServeMirrors(mux, map[string]*peer.Mirror{prefix: mirror})
 		server = httptest.NewServer(mux)
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -85,12 +85,22 @@
 	policyWait = 1500 * time.Millisecond
 	// listWait is how long other watches wait; each call is billed.
 	listWait = 20 * time.Second
+	// listPace is the least time between two calls of such a watch: a roll-out of
+	// weights changes several entries in each second.
+	listPace = 250 * time.Millisecond
 	// followWait is how long calls to a watcher of the zone wait; it adds to the
 	// age of the news.
 	followWait = 500 * time.Millisecond
-	// watcherWait is how long the watches of a watcher wait: its followers take an
-	// answer as proof that it still hears the store.
-	watcherWait = 600 * time.Millisecond
+	// serversWait, batchesWait and hostsWait are how long the watches of a watcher
+	// wait: its followers take an answer as proof that it still hears the store. A
+	// leaving server gets no new work after 2 s, an ended batch after 3 s; hosts
+	// change seldom.
+	serversWait = 600 * time.Millisecond
+	batchesWait = 1500 * time.Millisecond
+	hostsWait   = 10 * time.Second
+	// silenceMargin is the time beyond its wait after which a watcher that had no
+	// answer is no source for others.
+	silenceMargin = 400 * time.Millisecond
 	// peerDial bounds a new connection to another host, a millisecond away.
 	peerDial = 400 * time.Millisecond
 	// revokeMargin is kept of the bound for withdrawn keys, for the time from a
@@ -178,8 +188,11 @@
 	n.Log = log.Tap(func(e event.Entry) { n.Meter.Count("events_total", "event", e.Number.String()) })
 	n.store = n.reach(object.WatchWait)
 	n.mirrors = map[string]*peer.Mirror{}
-	for _, prefix := range []string{outside.Keys.PolicyKind, outside.Keys.Servers, peer.Prefix, batch.RecordPrefix} {
-		n.mirrors[prefix] = &peer.Mirror{Now: clock}
+	for prefix, wait := range map[string]time.Duration{
+		outside.Keys.PolicyKind: policyWait, outside.Keys.Servers: serversWait,
+		peer.Prefix: hostsWait, batch.RecordPrefix: batchesWait,
+	} {
+		n.mirrors[prefix] = &peer.Mirror{Now: clock, Silence: wait + silenceMargin}
 	}
 	n.Forwarder = &forward.Forwarder{
 		Pool: n.Pool, Sender: outside.Sender, Log: n.Log, Meter: n.Meter,
@@ -287,14 +300,14 @@
 // parts returns the loops of the host, each to run in a goroutine of its own.
 func (n *Node) parts(ctx context.Context) []func() {
 	keys := n.Outside.Keys
-	follow := func(wait time.Duration, prefix string, handle func(object.Change)) func() {
-		return func() { n.mirrored(wait, prefix, handle).Run(ctx) }
+	follow := func(watch watch, prefix string, handle func(object.Change)) func() {
+		return func() { n.mirrored(watch, prefix, handle).Run(ctx) }
 	}
 	return []func(){
-		follow(policyWait, keys.PolicyKind, n.learnPolicy),
-		follow(listWait, keys.Servers, n.learnServers),
-		follow(listWait, peer.Prefix, n.learnHosts),
-		follow(listWait, batch.RecordPrefix, n.Book.Learn),
+		follow(watch{own: policyWait, brief: policyWait}, keys.PolicyKind, n.learnPolicy),
+		follow(watch{own: listWait, brief: serversWait, pace: listPace}, keys.Servers, n.learnServers),
+		follow(watch{own: listWait, brief: hostsWait, pace: listPace}, peer.Prefix, n.learnHosts),
+		follow(watch{own: listWait, brief: batchesWait, pace: listPace}, batch.RecordPrefix, n.Book.Learn),
 		func() { n.Directory.Register(ctx, n.store) },
 		func() { n.Book.Run(ctx) },
 		func() { n.holder.Run(ctx) },
@@ -315,13 +328,22 @@
 
 // mirrored returns a follower of what all hosts follow: from a watcher of the
 // zone, or from the store for the others to follow.
-func (n *Node) mirrored(wait time.Duration, prefix string, handle func(object.Change)) object.Follower {
+func (n *Node) mirrored(watch watch, prefix string, handle func(object.Change)) object.Follower {
 	mirror := n.mirrors[prefix]
-	source := &peer.Source{Direct: n.reach(wait), Brief: n.reach(watcherWait), Directory: n.Directory, Wait: followWait}
-	return object.Follower{Reader: source, Prefix: prefix, Now: clock, Lost: mirror.Lost, Handle: func(change object.Change) {
-		handle(change)
-		mirror.Learn(change, source.IsDirect())
-	}}
+	source := &peer.Source{Direct: n.reach(watch.own), Brief: n.reach(watch.brief), Directory: n.Directory, Wait: followWait}
+	return object.Follower{
+		Reader: source, Prefix: prefix, Now: clock, Lost: mirror.Lost, Pace: watch.pace,
+		Handle: func(change object.Change) {
+			handle(change)
+			mirror.Learn(change, source.IsDirect())
+		},
+	}
+}
+
+// watch is how a prefix is watched: for how long at most by a host for itself
+// and by a watcher for others, and how often.
+type watch struct {
+	own, brief, pace time.Duration
 }
 
 // reach returns the store, directly or through a peer, with a wait of its
--- a/internal/platform/object/follow.go
+++ b/internal/platform/object/follow.go
@@ -35,13 +35,15 @@
 // Follower keeps up with the objects under a prefix. Now is a clock that counts
 // suspend. Handle is called by one goroutine, also for a watch that ended
 // without a change, since that shows that nothing has changed. Lost, when set,
-// is called for each failed call.
+// is called for each failed call. Pace is the least time between two calls, so
+// that changes in quick succession come together.
 type Follower struct {
 	Reader Reader
 	Prefix string
 	Now    func() time.Duration
 	Handle func(Change)
 	Lost   func(error)
+	Pace   time.Duration
 }
 
 // Run lists once and then watches, until the context ends.
@@ -49,10 +51,14 @@
 	var after uint64
 	listed, retry := false, firstFollowRetry
 	for ctx.Err() == nil {
+		sent := f.Now()
 		change, err := f.next(ctx, listed, after)
 		if err == nil {
 			listed, after, retry = true, change.Revision, firstFollowRetry
 			f.Handle(change)
+			if rest := f.Pace - (f.Now() - sent); rest > 0 {
+				sleep(ctx, rest)
+			}
 			continue
 		}
 		if _, compacted := errors.AsType[*CompactedError](err); compacted {
