--- a/internal/host/node/learn.go
+++ b/internal/host/node/learn.go
@@ -17,38 +17,40 @@
 func (n *Node) learnPolicy(change object.Change) {
 	for _, o := range change.Objects {
 		if o.Key == n.Outside.Keys.Policy && !o.Deleted {
-			n.apply(o)
+			n.unread = !n.apply(o)
 		}
 	}
-	if n.Policy() != nil {
+	// A version that can't be read may withdraw keys: the news ages until one can.
+	if n.Policy() != nil && !n.unread {
 		n.news.Store(max(n.news.Load(), int64(change.Known)))
 	}
 }
 
 // apply puts a configuration in force unless a newer one is: it never goes
-// back while the host lives.
-func (n *Node) apply(o object.Object) {
+// back while the host lives. It returns false for one that can't be read.
+func (n *Node) apply(o object.Object) bool {
 	next, err := n.Outside.Policy(o.Value)
 	if err != nil {
 		n.Log.Emit(event.ConfigurationUnreadable, "revision", o.Version, "err", err.Error())
-		return
+		return false
 	}
 	if old := n.Policy(); old != nil && next.Version <= old.Version {
-		return
+		return true
 	}
 	grace := n.Settings.Revoke - revokeMargin
 	table, err := gate.NewTable(next.Rules(grace))
 	if err != nil {
 		n.Log.Emit(event.ConfigurationUnreadable, "version", next.Version, "revision", o.Version, "err", err.Error())
-		return
+		return false
 	}
 	withdrawn, err := n.Gate.Swap(table)
 	if _, stale := errors.AsType[*gate.StaleError](err); stale {
-		return
+		return true
 	}
 	n.policy.Store(next)
 	n.Log.Emit(event.ConfigurationApplied, "version", next.Version, "revision", o.Version,
 		"routes", len(next.Routes), "workspaces", len(next.Workspaces), "withdrawn", len(withdrawn))
+	return true
 }
 
 func (n *Node) learnHosts(change object.Change) {
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -168,6 +168,7 @@
 	stale    atomic.Bool
 	lost     atomic.Int64    // instant by clock at which the duty was last lost
 	held     atomic.Int64    // instant by clock at which another host said that it holds the duty
+	unread   bool            // the newest configuration can't be read; owned by its follower
 	retired  map[string]bool // entries answered; owned by their follower
 	done     chan struct{}
 }
@@ -200,7 +201,7 @@
 	}
 	n.Book = &batch.Book{
 		Host: settings.Host, Incarnation: n.Incarnation, Store: n.store, Peers: peers{n.Directory},
-		Pool: n.Pool, Engine: outside.Engine, Scores: scores{n}, Policy: n.Policy,
+		Pool: n.Pool, Engine: outside.Engine, Scores: scores{n},
 		Reaches: func() bool { return n.age() < reachAge }, Log: n.Log, Meter: n.Meter,
 	}
 	n.gauges()
--- a/internal/host/node/node_test.go
+++ b/internal/host/node/node_test.go
@@ -108,6 +108,12 @@
 		double.Workspaces = append(double.Workspaces, policy.Workspace{Name: "v", Digests: []string{zeroDigest}})
 		n.learnPolicy(change(keys.Policy, 3, double, clock()))
 		Expect(n.Policy().Version).To(Equal(uint64(3)))
+
+		before := n.news.Load()
+		n.learnPolicy(object.Change{Known: clock()})
+		Expect(n.news.Load()).To(Equal(before), "what can't be read may withdraw keys")
+		n.learnPolicy(change(keys.Policy, 4, version(6, route), clock()))
+		Expect(n.news.Load()).To(BeNumerically(">", before))
 	})
 
 	// Pattern: a host is cut off, and a key may have been withdrawn meanwhile.
--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -43,7 +43,6 @@
 	Service   string        `json:"service"`
 	Host      string        `json:"host"`
 	Attempts  int           `json:"attempts"`
-	Due       time.Duration `json:"due"`
 	Expiry    time.Duration `json:"expiry"`
 	Items     []Item        `json:"items"`
 }
--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -253,7 +253,7 @@
 
 // submission returns a batch of items; those of one letter are one group.
 func submission(id string, items ...string) batch.Batch {
-	b := batch.Batch{ID: id, Workspace: "w", Route: "r", Model: "m", Floor: 5, Step: 4, Service: "llm", Attempts: 3, Due: time.Minute, Expiry: time.Minute}
+	b := batch.Batch{ID: id, Workspace: "w", Route: "r", Model: "m", Floor: 5, Step: 4, Service: "llm", Attempts: 3, Expiry: time.Minute}
 	for _, item := range items {
 		b.Items = append(b.Items, batch.Item{ID: item, Target: "/x", Group: item[:1], Body: []byte("body of " + item)})
 	}
--- a/internal/rollout/batch/book.go
+++ b/internal/rollout/batch/book.go
@@ -10,7 +10,6 @@
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
 	"github.com/hyssopwall/hyssopwall/internal/site/meter"
-	"github.com/hyssopwall/hyssopwall/internal/site/policy"
 )
 
 // Stream is a generation in progress. Next returns io.EOF after the last event
@@ -118,7 +117,6 @@
 	Pool        *pool.Pool
 	Engine      Engine
 	Scores      Scores
-	Policy      func() *policy.Policy
 	// Reaches says whether the store answered lately.
 	Reaches func() bool
 	Log     event.Log
--- a/internal/rollout/release/release.go
+++ b/internal/rollout/release/release.go
@@ -51,7 +51,6 @@
 // Status is what an engine says of itself when asked.
 type Status struct {
 	Versions map[string]uint64
-	Busy     bool  // an order is being carried out
 	Orders   int64 // accepted since its start
 }
 
--- a/internal/site/policy/policy.go
+++ b/internal/site/policy/policy.go
@@ -98,24 +98,6 @@
 	return best, found
 }
 
-// Named returns the route of that name.
-func (p *Policy) Named(name string) (Route, bool) {
-	at := slices.IndexFunc(p.Routes, func(r Route) bool { return r.Name == name })
-	if at < 0 {
-		return Route{}, false
-	}
-	return p.Routes[at], true
-}
-
-// Service returns the service of that name.
-func (p *Policy) Service(name string) (Service, bool) {
-	at := slices.IndexFunc(p.Services, func(s Service) bool { return s.Name == name })
-	if at < 0 {
-		return Service{}, false
-	}
-	return p.Services[at], true
-}
-
 // Urgency returns the priority of a workspace's requests on a route.
 func (p *Policy) Urgency(route Route, workspace string) int {
 	for _, w := range p.Workspaces {
