--- a/internal/rollout/batch/carry.go
+++ b/internal/rollout/batch/carry.go
@@ -23,8 +23,8 @@
 	recentEnd = 20 * time.Second
 )
 
-// leave keeps the text of an item that its batch did not finish.
-func (b *Book) leave(item string, partial Partial) {
+// storePartial keeps the text of an item that its batch did not finish.
+func (b *Book) storePartial(item string, partial Partial) {
 	if len(partial.Texts) == 0 {
 		return
 	}
--- a/internal/rollout/batch/generate.go
+++ b/internal/rollout/batch/generate.go
@@ -121,7 +121,7 @@
 func (g *generation) run(ctx context.Context, choice *pool.Choice) (Result, bool) {
 	started := time.Now()
 	defer func() { g.Meter.Time("item_seconds", time.Since(started), "route", g.batch.Route) }()
-	defer func() { g.leave(g.item.ID, Partial{Texts: g.texts, Versions: g.versions, Whole: g.whole}) }()
+	defer func() { g.storePartial(g.item.ID, Partial{Texts: g.texts, Versions: g.versions, Whole: g.whole}) }()
 	if g.whole {
 		return g.score(ctx)
 	}
