--- a/internal/entry/forward/run.go
+++ b/internal/entry/forward/run.go
@@ -315,14 +315,11 @@
 }
 
 func (r *run) giveUp(err error) (Answer, error) {
-	if refused, ok := errors.AsType[*RefusedError](err); ok {
-		if r.state.Ran() == attempt.RanNo {
-			return Answer{}, refused
-		}
-		r.last = err
-	} else {
-		r.last = err
+	refused, ok := errors.AsType[*RefusedError](err)
+	if ok && r.state.Ran() == attempt.RanNo {
+		return Answer{}, refused
 	}
+	r.last = err
 	r.apply(attempt.Event{Kind: attempt.EventExpire})
 	return r.finish()
 }
--- a/internal/rollout/batch/generate.go
+++ b/internal/rollout/batch/generate.go
@@ -109,7 +109,7 @@
 		}
 		select {
 		case <-changed:
-		case <-time.After(min(again, left)): // a backoff ends without a change
+		case <-time.After(min(again, left)): // a report of load grows old without a change
 		case <-ctx.Done():
 			return nil, false
 		}
