--- a/internal/fleet/peer/mirror.go
+++ b/internal/fleet/peer/mirror.go
@@ -11,18 +11,26 @@
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 )
 
-// In a large availability zone a few hosts watch the store, and the others
-// follow them: the store bills each call, a waiting watch as one, so that its
-// bill does not grow with the number of hosts. In a small zone each host watches
-// by itself, which is the faster way to notice that a watch has fallen silent.
+// At a large site a few hosts watch the store, a few of each availability zone
+// follow these, and the other hosts follow those of their zone: the store bills
+// each call, a waiting watch as one, so that its bill grows neither with the
+// hosts nor with the zones. In a small zone each host watches by itself, which is
+// the faster way to notice that a watch has fallen silent.
 
 const (
-	// watchers is the number of hosts that watch the store in a zone of more than
-	// fewHosts.
+	// watchers is the number of hosts that watch the store for a site, each of
+	// another zone, and of those that follow them for a zone.
 	watchers = 2
+	// fewHosts is the size up to which the hosts of a zone watch by themselves.
 	fewHosts = 4
 	// followMargin is the time beyond its wait that a call to a watcher may take.
-	followMargin = 700 * time.Millisecond
+	// Two silent ones in a row have to fit into the 2 s in which news is to arrive.
+	followMargin = 450 * time.Millisecond
+	// firstPatience is how long a host that starts waits for those that it follows
+	// before it reads the store itself, and firstRetry its pace: about the spread
+	// of the starts of hosts.
+	firstPatience = 400 * time.Millisecond
+	firstRetry    = 40 * time.Millisecond
 	// shunned is how long a watcher that failed is not asked.
 	shunned = 3 * time.Second
 	// keptChanges is the number of changes that a mirror keeps for followers that
@@ -30,6 +38,15 @@
 	keptChanges = 1024
 )
 
+// Levels say how far from the store a host's news is. Hosts follow lower levels
+// only, so that no two follow each other.
+const (
+	levelNone  = iota // no news
+	LevelStore        // from the store itself
+	levelZone         // from a host that watches the store
+	levelLeaf         // from a host that follows such a one; nobody follows it
+)
+
 // Mirror holds the objects under one prefix as a host knows them, for other
 // hosts to follow. Now is the host's clock. Silence is the time since the latest
 // answer of the store after which the host is no source for others. It is safe
@@ -45,16 +62,15 @@
 	revision uint64
 	known    time.Duration
 	heard    time.Duration // when the latest answer came
-	live     bool          // fed by the store itself, and not failing
-	changed  chan struct{}
+	level    int           // of the latest news, levelNone while it fails
+	changed  chan struct{} // closed by news, also by that of no change
 }
 
-// Learn takes in a change that came from the store, or from a watcher when
-// direct is false.
-func (m *Mirror) Learn(change object.Change, direct bool) {
+// Learn takes in a change, and the level from which it came.
+func (m *Mirror) Learn(change object.Change, level int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.live, m.known, m.heard = direct, change.Known, m.Now()
+	m.level, m.known, m.heard = level, change.Known, m.Now()
 	m.revision = max(m.revision, change.Revision)
 	if change.Whole || m.objects == nil {
 		m.objects, m.recent, m.floor = map[string]object.Object{}, nil, change.Revision
@@ -73,7 +89,12 @@
 		m.floor = m.recent[over-1].Version
 		m.recent = slices.Clone(m.recent[over:])
 	}
-	if m.changed != nil && (change.Whole || len(change.Objects) > 0) {
+	m.wake()
+}
+
+// wake lets those that wait look again; the caller holds the lock.
+func (m *Mirror) wake() {
+	if m.changed != nil {
 		close(m.changed)
 		m.changed = nil
 	}
@@ -83,7 +104,8 @@
 func (m *Mirror) Lost(error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.live = false
+	m.level = levelNone
+	m.wake()
 }
 
 // followRequest asks a watcher for the changes after a revision, or for all
@@ -94,33 +116,34 @@
 	Wait   time.Duration `cbor:"3,keyasint"`
 }
 
-// followReply answers a followRequest. Live is false when the host asked does
-// not watch the store itself now.
+// followReply answers a followRequest. Level is that of the host asked, levelNone
+// when it has no news to follow. Held is for how long it has waited with the
+// answer, Age that of the news then.
 type followReply struct {
-	Live      bool          `cbor:"1,keyasint"`
+	Level     int           `cbor:"1,keyasint"`
 	Compacted bool          `cbor:"2,keyasint,omitempty"`
 	Batch     object.Batch  `cbor:"3,keyasint"`
 	Age       time.Duration `cbor:"4,keyasint"`
+	Held      time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
-// serve waits for changes after the request's revision.
+// serve waits for news after the request's revision: changes, or the proof that
+// there are none.
 func (m *Mirror) serve(ctx context.Context, request followRequest) followReply {
-	timer := time.NewTimer(request.Wait)
-	defer timer.Stop()
-	for {
-		reply, changed := m.reply(request.After)
-		if !reply.Live || reply.Compacted || request.After == 0 || len(reply.Batch.Objects) > 0 {
-			return reply
-		}
+	began := m.Now()
+	reply, changed := m.reply(request.After)
+	if reply.Level != levelNone && !reply.Compacted && request.After > 0 && len(reply.Batch.Objects) == 0 {
+		timer := time.NewTimer(request.Wait)
+		defer timer.Stop()
 		select {
 		case <-changed:
 		case <-timer.C:
-			reply, _ = m.reply(request.After) // with the age as of now
-			return reply
 		case <-ctx.Done():
-			return reply
 		}
+		reply, _ = m.reply(request.After)
 	}
+	reply.Held = m.Now() - began
+	return reply
 }
 
 func (m *Mirror) reply(after uint64) (followReply, <-chan struct{}) {
@@ -130,10 +153,13 @@
 		m.changed = make(chan struct{})
 	}
 	now := m.Now()
-	reply := followReply{Live: m.live && now-m.heard < m.Silence, Age: now - m.known}
+	reply := followReply{Level: m.level, Age: now - m.known}
+	if now-m.heard >= m.Silence || m.level >= levelLeaf {
+		reply.Level = levelNone
+	}
 	reply.Batch.Revision = max(after, m.revision)
 	switch {
-	case !reply.Live:
+	case reply.Level == levelNone:
 	case after == 0:
 		for _, o := range m.objects {
 			reply.Batch.Objects = append(reply.Batch.Objects, o)
@@ -161,23 +187,23 @@
 	})
 }
 
-// Source reads a prefix from a watcher of the host's zone, or from the store
-// when the host is a watcher itself or none answers. It implements
-// object.Reader; one goroutine uses it.
+// Source reads a prefix from the host that this one follows, or from the store
+// when it follows none or none answers. It implements object.Reader; one
+// goroutine uses it.
 type Source struct {
 	Direct    object.Reader // for a host that watches for itself
-	Brief     object.Reader // for a watcher of others: its watches wait less than Mirror.Silence
+	Brief     object.Reader // for a host that others follow: its watches wait less than Mirror.Silence
 	Directory *Directory
-	Wait      time.Duration // of calls to watchers
+	Wait      time.Duration // of calls to other hosts
 
-	direct bool // where the latest answer came from
-	shun   map[string]time.Time
+	level int // of the latest answer
+	shun  map[string]time.Time
 }
 
-// IsDirect says whether the latest answer came from the store.
-func (s *Source) IsDirect() bool { return s.direct }
+// Level returns how far from the store the latest answer was.
+func (s *Source) Level() int { return s.level }
 
-// errNoWatcher says that no watcher answers.
+// errNoWatcher says that no host to follow answers.
 var errNoWatcher = errors.New("no watcher")
 
 // Get implements object.Reader, always from the store.
@@ -187,82 +213,113 @@
 
 // List implements object.Reader.
 func (s *Source) List(ctx context.Context, prefix string) (object.Batch, error) {
-	batch, err := s.follow(ctx, followRequest{Prefix: prefix})
+	request := followRequest{Prefix: prefix}
+	batch, err := s.follow(ctx, request)
+	for began := time.Now(); errors.Is(err, errNoWatcher) && s.waitsFirst(began); {
+		time.Sleep(firstRetry)
+		clear(s.shun)
+		batch, err = s.follow(ctx, request)
+	}
 	if errors.Is(err, errNoWatcher) {
-		s.direct = true
 		return s.store().List(ctx, prefix)
 	}
 	return batch, err
 }
 
+// waitsFirst says whether a host that just started waits for those that it
+// follows: after an outage of a whole site all of them start at once.
+func (s *Source) waitsFirst(began time.Time) bool {
+	return s.level == levelNone && len(s.Directory.place().upstreams) > 0 && time.Since(began) < firstPatience
+}
+
 // Watch implements object.Reader.
 func (s *Source) Watch(ctx context.Context, prefix string, after uint64) (object.Batch, error) {
 	batch, err := s.follow(ctx, followRequest{Prefix: prefix, After: after, Wait: s.Wait})
 	if errors.Is(err, errNoWatcher) {
-		s.direct = true
 		return s.store().Watch(ctx, prefix, after)
 	}
 	return batch, err
 }
 
-// store returns the reader to use without a watcher.
+// store returns the reader to use without another host.
 func (s *Source) store() object.Reader {
-	if s.Directory.watchersOf(s.Directory.Self.Zone) == nil {
+	s.level = LevelStore
+	if s.Directory.place().small {
 		return s.Direct
 	}
 	return s.Brief
 }
 
-// follow asks the watchers of the zone in turn.
+// follow asks the hosts to follow in turn.
 func (s *Source) follow(ctx context.Context, request followRequest) (object.Batch, error) {
-	hosts := s.Directory.watchersOf(s.Directory.Self.Zone)
-	if slices.Contains(hosts, s.Directory.Self.Name) {
-		return object.Batch{}, errNoWatcher
-	}
-	for _, host := range hosts {
+	place := s.Directory.place()
+	for _, host := range place.upstreams {
 		if time.Now().Before(s.shun[host]) {
 			continue
 		}
 		asking, cancel := context.WithTimeout(ctx, request.Wait+followMargin)
 		reply, err := Call[followReply](asking, s.Directory, host, "follow", request)
 		cancel()
-		if err != nil || !reply.Live {
+		if err != nil || reply.Level == levelNone || reply.Level > place.highest {
 			if s.shun == nil {
 				s.shun = map[string]time.Time{}
 			}
 			s.shun[host] = time.Now().Add(shunned)
 			continue
 		}
-		s.direct = false
+		s.level = reply.Level + 1
 		if reply.Compacted {
 			return object.Batch{}, &object.CompactedError{Prefix: request.Prefix}
 		}
-		reply.Batch.Age = reply.Age
-		if len(reply.Batch.Objects) == 0 {
-			reply.Batch.Held = request.Wait
-		}
+		reply.Batch.Age, reply.Batch.Held = reply.Age, reply.Held
 		return reply.Batch, nil
 	}
 	return object.Batch{}, errNoWatcher
 }
 
-// watchersOf returns the hosts of a zone that watch the store for the others,
-// none in a small zone.
-func (d *Directory) watchersOf(zone string) []string {
-	var names []string
-	for _, h := range d.Hosts() {
-		if h.Zone == zone {
-			names = append(names, h.Name)
-		}
+// place is the part of a host in the spreading of news.
+type place struct {
+	small     bool     // the zone's hosts watch by themselves
+	upstreams []string // the hosts that this one follows, none when it watches the store
+	highest   int      // level of theirs that it takes
+}
+
+// place returns the part of this host among those that are known.
+func (d *Directory) place() place {
+	d.mu.Lock()
+	known := d.placed
+	d.mu.Unlock()
+	if known != nil {
+		return *known
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		if score("watch", a) > score("watch", b) {
-			return -1
+	found := placeOf(d.Self, d.ranked("watch"))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.placed = &found
+	return found
+}
+
+// placeOf returns the part of a host. Ranked are all hosts in their rank.
+func placeOf(self Host, ranked []Host) place {
+	byZone := map[string][]string{}
+	for _, h := range ranked {
+		byZone[h.Zone] = append(byZone[h.Zone], h.Name)
+	}
+	if len(byZone[self.Zone]) <= fewHosts {
+		return place{small: true}
+	}
+	var site, zones []string // those that watch the store, each of another large zone
+	for _, h := range ranked {
+		if len(site) < watchers && len(byZone[h.Zone]) > fewHosts && !slices.Contains(zones, h.Zone) {
+			site, zones = append(site, h.Name), append(zones, h.Zone)
 		}
-		return 1
-	})
-	if len(names) <= fewHosts {
-		return nil
 	}
-	return names[:watchers]
+	zone := byZone[self.Zone][:watchers]
+	switch {
+	case slices.Contains(site, self.Name):
+		return place{}
+	case slices.Contains(zone, self.Name):
+		return place{upstreams: site, highest: LevelStore}
+	}
+	return place{upstreams: zone, highest: levelZone}
 }
--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -60,8 +60,9 @@
 	Self Host
 	HTTP *http.Client
 
-	mu    sync.Mutex
-	hosts map[string]Host
+	mu     sync.Mutex
+	hosts  map[string]Host
+	placed *place // nil until asked for, and after a change
 }
 
 // Register writes this host's object, again and again until it stands.
@@ -78,15 +79,15 @@
 	}
 }
 
+// registered creates the object, or replaces that of an earlier process.
 func (d *Directory) registered(ctx context.Context, store object.Store, value []byte) bool {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	key := Prefix + d.Self.Name
-	found, err := store.Get(ctx, key)
-	if _, missing := errors.AsType[*object.NotFoundError](err); err != nil && !missing {
-		return false
+	_, err := store.Put(ctx, key, value, 0)
+	if conflict, ok := errors.AsType[*object.ConflictError](err); ok {
+		_, err = store.Put(ctx, key, value, conflict.Have)
 	}
-	_, err = store.Put(ctx, key, value, found.Version)
 	return err == nil
 }
 
@@ -95,6 +96,7 @@
 func (d *Directory) Learn(change object.Change) []error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.placed = nil
 	if change.Whole || d.hosts == nil {
 		d.hosts = map[string]Host{}
 	}
@@ -158,15 +160,22 @@
 
 // First returns the first hosts in the order of Rank, this one included.
 func (d *Directory) First(key string, count int) []string {
-	hosts := d.Hosts()
-	slices.SortFunc(hosts, func(a, b Host) int { return cmp.Compare(score(key, b.Name), score(key, a.Name)) })
 	var names []string
-	for _, h := range hosts[:min(count, len(hosts))] {
-		names = append(names, h.Name)
+	for _, h := range d.ranked(key) {
+		if len(names) < count {
+			names = append(names, h.Name)
+		}
 	}
 	return names
 }
 
+// ranked returns all hosts in the order of Rank.
+func (d *Directory) ranked(key string) []Host {
+	hosts := d.Hosts()
+	slices.SortFunc(hosts, func(a, b Host) int { return cmp.Compare(score(key, b.Name), score(key, a.Name)) })
+	return hosts
+}
+
 func score(key, host string) uint64 { return xxhash.Sum64String(key + "\x00" + host) }
 
 // UnreachableError says that a host did not answer a call.
--- a/internal/fleet/peer/peer_test.go
+++ b/internal/fleet/peer/peer_test.go
@@ -155,7 +155,19 @@
 		Expect(err).To(BeAssignableToTypeOf(&object.NotFoundError{}))
 		Expect(relay.Health.Down()).To(BeTrue())
 		away.Inject(nil)
-		Eventually(relay.Health.Down, 8*time.Second).Should(BeFalse())
+		Eventually(func() bool {
+			_, err := relay.Get(ctx, "k/a")
+			Expect(err).To(BeAssignableToTypeOf(&object.NotFoundError{}))
+			return relay.Health.Down()
+		}, 8*time.Second).Should(BeFalse())
+	})
+
+	// Pattern: the store is away from many hosts that have nothing to ask it.
+	It("does not try the store while no call is made", func(ctx SpecContext) {
+		_, err := relay.Get(ctx, "k/a")
+		Expect(err).To(BeAssignableToTypeOf(&object.NotFoundError{}))
+		calls := away.Calls
+		Consistently(func() int { return away.Calls }, 2500*time.Millisecond).Should(Equal(calls))
 	})
 
 	It("lets no peer ask on behalf of another", func() {
--- a/internal/fleet/peer/relay.go
+++ b/internal/fleet/peer/relay.go
@@ -21,8 +21,12 @@
 	relayMargin = 1500 * time.Millisecond
 	// relayTries is the number of peers that are asked for one call.
 	relayTries = 2
-	// probeEvery is the pace of trying the store again directly.
+	// probeEvery is the least time between two tries of the store, which bills
+	// them, also when it refuses. Only a host that makes calls tries.
 	probeEvery = time.Second
+	// probePatience is how long a call waits for such a try before it goes to
+	// peers; a store that is well answers in milliseconds.
+	probePatience = 50 * time.Millisecond
 	// probeTimeout bounds such a try.
 	probeTimeout = 800 * time.Millisecond
 )
@@ -46,6 +50,7 @@
 	mu      sync.Mutex
 	down    bool
 	probing bool
+	tried   time.Time // the latest call without an answer
 }
 
 // Down says whether the store is out of direct reach.
@@ -55,31 +60,29 @@
 	return h.down
 }
 
-// lost notes a failed direct call and probes the store until it answers.
-func (h *Health) lost(probe func(context.Context) error) {
+// lost notes a failed direct call.
+func (h *Health) lost(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.down = true
-	if h.probing {
-		return
+	h.down, h.tried = true, now
+}
+
+// due says whether the store is to be tried again now, and reserves the try.
+func (h *Health) due(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.down || h.probing || now.Sub(h.tried) < probeEvery {
+		return false
 	}
 	h.probing = true
-	go h.probe(probe)
+	return true
 }
 
-func (h *Health) probe(probe func(context.Context) error) {
-	for {
-		time.Sleep(probeEvery)
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		err := probe(ctx)
-		cancel()
-		if !unreached(err) {
-			h.mu.Lock()
-			h.down, h.probing = false, false
-			h.mu.Unlock()
-			return
-		}
-	}
+// settle takes in how a try ended.
+func (h *Health) settle(now time.Time, reached bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.down, h.probing, h.tried = !reached, false, now
 }
 
 // unreached says whether a call failed for want of the store and certainly had
@@ -167,21 +170,34 @@
 
 // do makes a call directly, or through peers while the store is out of reach.
 func (r *Relay) do(ctx context.Context, call relayed) (relayReply, error) {
+	if r.Health.due(time.Now()) {
+		r.probe() //nolint:contextcheck // a try goes on after the call that found it due
+	}
 	if !r.Health.Down() {
 		reply, err := perform(ctx, r.Direct, call)
 		if !unreached(err) || ctx.Err() != nil {
 			return reply, err
 		}
-		r.Health.lost(r.probe) //nolint:contextcheck // the probe goes on after the call that found the loss
-		call.Wait = 0          // a lost watch is listed or watched again at once
+		r.Health.lost(time.Now())
+		call.Wait = 0 // a lost watch is listed or watched again at once
 	}
-	reply, err := r.ask(ctx, call)
-	return reply, err
+	return r.ask(ctx, call)
 }
 
-func (r *Relay) probe(ctx context.Context) error {
-	_, err := r.Direct.Get(ctx, Prefix+r.Directory.Self.Name)
-	return err
+// probe tries the store directly once, and waits a moment for its answer.
+func (r *Relay) probe() {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		_, err := r.Direct.Get(ctx, Prefix+r.Directory.Self.Name)
+		r.Health.settle(time.Now(), !unreached(err))
+	}()
+	select {
+	case <-done:
+	case <-time.After(probePatience):
+	}
 }
 
 // ask lets peers make the call, until one of them reaches the store.
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -46,6 +46,8 @@
 	Metrics string
 	// Grace is the time that a planned stop may take.
 	Grace time.Duration
+	// First says that the whole site starts for the first time.
+	First bool
 }
 
 // Keys names what others write to the platform's store.
@@ -98,6 +100,12 @@
 	serversWait = 600 * time.Millisecond
 	batchesWait = 1500 * time.Millisecond
 	hostsWait   = 10 * time.Second
+	// placeWait is how long a host that starts waits for the list of hosts, which
+	// says whom it follows, before it reads the store by itself.
+	placeWait = 500 * time.Millisecond
+	// firstWait lets the hosts of a new site write their objects before each
+	// reads them; they start within 300 ms.
+	firstWait = 500 * time.Millisecond
 	// silenceMargin is the time beyond its wait after which a watcher that had no
 	// answer is no source for others.
 	silenceMargin = 400 * time.Millisecond
@@ -171,6 +179,8 @@
 	time     lease.Clock
 	unread   bool            // the newest configuration can't be read; owned by its follower
 	retired  map[string]bool // entries answered; owned by their follower
+	placed   chan struct{}   // closed once the list of hosts is known
+	once     sync.Once       // closes placed
 	done     chan struct{}
 }
 
@@ -179,7 +189,7 @@
 
 // New assembles a host.
 func New(settings Settings, outside Outside, log event.Log) *Node {
-	n := &Node{Settings: settings, Outside: outside, Log: log, Incarnation: uint64(time.Now().UnixNano()), time: lease.Boot{}, done: make(chan struct{}), retired: map[string]bool{}}
+	n := &Node{Settings: settings, Outside: outside, Log: log, Incarnation: uint64(time.Now().UnixNano()), time: lease.Boot{}, placed: make(chan struct{}), done: make(chan struct{}), retired: map[string]bool{}}
 	n.outage.Patience = lostAfter
 	n.Meter = meter.New()
 	n.Pool = &pool.Pool{Zone: settings.Zone}
@@ -303,12 +313,15 @@
 func (n *Node) parts(ctx context.Context) []func() {
 	keys := n.Outside.Keys
 	follow := func(watch watch, prefix string, handle func(object.Change)) func() {
-		return func() { n.mirrored(watch, prefix, handle).Run(ctx) }
+		return func() {
+			n.awaitPlace(ctx)
+			n.mirrored(watch, prefix, handle).Run(ctx)
+		}
 	}
 	return []func(){
+		func() { n.followHosts(ctx) },
 		follow(watch{own: policyWait, brief: policyWait}, keys.PolicyKind, n.learnPolicy),
 		follow(watch{own: listWait, brief: serversWait, pace: listPace}, keys.Servers, n.learnServers),
-		follow(watch{own: listWait, brief: hostsWait, pace: listPace}, peer.Prefix, n.learnHosts),
 		follow(watch{own: listWait, brief: batchesWait, pace: listPace}, batch.RecordPrefix, n.Book.Learn),
 		func() { n.Directory.Register(ctx, n.store) },
 		func() { n.Book.Run(ctx) },
@@ -323,6 +336,34 @@
 	}
 }
 
+// followHosts keeps up with the list of hosts.
+func (n *Node) followHosts(ctx context.Context) {
+	if n.Settings.First {
+		pause(ctx, firstWait)
+	}
+	n.mirrored(watch{own: listWait, brief: hostsWait, pace: listPace}, peer.Prefix, n.learnHosts).Run(ctx)
+}
+
+// awaitPlace waits until the list of hosts is known.
+func (n *Node) awaitPlace(ctx context.Context) {
+	wait := placeWait
+	if n.Settings.First {
+		wait += firstWait
+	}
+	select {
+	case <-ctx.Done():
+	case <-n.placed:
+	case <-time.After(wait):
+	}
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
 // follower returns a follower whose calls are counted by what it follows.
 func (n *Node) follower(wait time.Duration, prefix string, handle func(object.Change)) object.Follower {
 	return object.Follower{Reader: n.reach(wait), Prefix: prefix, Now: n.clock, Handle: handle}
@@ -337,7 +378,7 @@
 		Reader: source, Prefix: prefix, Now: n.clock, Lost: mirror.Lost, Pace: watch.pace,
 		Handle: func(change object.Change) {
 			handle(change)
-			mirror.Learn(change, source.IsDirect())
+			mirror.Learn(change, source.Level())
 		},
 	}
 }
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -66,6 +66,7 @@
 	Incarnation uint64 `cbor:"1,keyasint"`
 	Healthy     bool   `cbor:"2,keyasint"`
 	Holds       bool   `cbor:"3,keyasint"` // the duty
+	Open        bool   `cbor:"4,keyasint"` // for new batches
 }
 
 // internal serves the calls of other hosts.
@@ -73,7 +74,8 @@
 	mux := http.NewServeMux()
 	peer.Handle(mux, "ping", func(context.Context, empty) pingReply {
 		_, holds := n.holder.Held(Duty)
-		return pingReply{Incarnation: n.Incarnation, Healthy: n.age() < reachAge, Holds: holds}
+		healthy := n.age() < reachAge
+		return pingReply{Incarnation: n.Incarnation, Healthy: healthy, Holds: holds, Open: healthy && n.Book.IsOpen()}
 	})
 	peer.Handle(mux, "counts", func(_ context.Context, r countsRequest) countsReply {
 		return countsReply{Counts: n.Tally.Of(r.Window)}
@@ -81,6 +83,10 @@
 	peer.Handle(mux, "read", n.Book.ServeRead)
 	peer.Handle(mux, "body", func(_ context.Context, r batch.BodyRequest) batch.BodyReply { return n.Book.ServeBody(r) })
 	peer.Handle(mux, "partials", n.Book.ServePartials)
+	peer.Handle(mux, "start", func(_ context.Context, r batch.StartRequest) empty { //nolint:contextcheck // the work outlives the call
+		n.Book.ServeStart(r)
+		return empty{}
+	})
 	peer.Handle(mux, "end", func(_ context.Context, r endRequest) empty {
 		n.Book.Ended(r.ID)
 		return empty{}
@@ -112,9 +118,14 @@
 	return err
 }
 
-func (p peers) Ping(ctx context.Context, host string) (uint64, bool) {
+func (p peers) Start(ctx context.Context, host string, request batch.StartRequest) error {
+	_, err := peer.Call[empty](ctx, p.Directory, host, "start", request)
+	return err
+}
+
+func (p peers) Ping(ctx context.Context, host string) (batch.Pulse, error) {
 	reply, err := peer.Call[pingReply](ctx, p.Directory, host, "ping", empty{})
-	return reply.Incarnation, err == nil && reply.Healthy
+	return batch.Pulse{Incarnation: reply.Incarnation, Healthy: reply.Healthy, Open: reply.Open}, err
 }
 
 func (n *Node) askCounts(ctx context.Context, host string, window int64) (tally.Counts, error) {
--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -8,9 +8,11 @@
 //  2. Results are appended to the batch's log, a row of objects that are each
 //     created once. A position is handed to a reader only after the store has
 //     acknowledged it, so it never changes.
-//  3. The record names an owner, which runs the items. Ownership is for
-//     efficiency: two owners at once append to one log, where each creation
-//     fails for the second, which reads what stands there and drops its copies.
+//  3. The record names an owner, which runs the items: the home of the batch's
+//     workspace and route, so that successive steps find their connections and
+//     the text of carried items at one host. Ownership is for efficiency: two
+//     owners at once append to one log, where each creation fails for the
+//     second, which reads what stands there and drops its copies.
 //  4. A host that is the next in rank takes a batch whose owner does not answer
 //     or can't reach the store. It reads the log and runs what is missing.
 //  5. An end is acknowledged when the record says so. The owner is told at once
--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -37,6 +37,8 @@
 	books map[string]*batch.Book
 	ends  map[string]context.CancelFunc
 	dead  map[string]bool
+	home  string          // of all batches; empty: the host that accepts one
+	deaf  map[string]bool // hosts that get no message of a start
 }
 
 func newSite(ctx context.Context, hosts ...string) *site {
@@ -155,11 +157,30 @@
 	return batch.PartialsReply{}, errDead
 }
 
-func (p *peers) Ping(_ context.Context, host string) (uint64, bool) {
+func (p *peers) Start(_ context.Context, host string, request batch.StartRequest) error {
+	b := p.book(host)
+	if b == nil || p.deaf[host] {
+		return errDead
+	}
+	b.ServeStart(request)
+	return nil
+}
+
+func (p *peers) Ping(_ context.Context, host string) (batch.Pulse, error) {
 	if b := p.book(host); b != nil {
-		return b.Incarnation, true
+		return batch.Pulse{Incarnation: b.Incarnation, Healthy: true, Open: b.IsOpen()}, nil
+	}
+	return batch.Pulse{}, errDead
+}
+
+// First puts the home of a site before the others.
+func (p *peers) First(_ string, count int) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.home == "" {
+		return []string{p.self}
 	}
-	return 0, false
+	return []string{p.home, p.self}[:count]
 }
 
 // engine generates three events for each item. An item that is held makes one
@@ -322,6 +343,74 @@
 		Expect(s.gen.resumed("a1")).To(HaveLen(1))
 	})
 
+	// Pattern: successive steps of one trainer come in at hosts all over the site;
+	// each host that runs one opens connections of its own to the engines.
+	It("is run by the home of its workspace, wherever it is accepted", func() {
+		s.home = "h3"
+		for i, host := range []string{"h1", "h2", "h3"} {
+			id := fmt.Sprint("b", i)
+			s.gen.hold[id+"x"] = make(chan struct{})
+			accept(host, submission(id, id+"x"))
+			Eventually(s.book("h3").Open, patience).Should(Equal(i + 1))
+			record, err := s.store.Get(ctx, batch.RecordPrefix+id)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(record.Value)).To(ContainSubstring(`"owner":"h3"`))
+			close(s.gen.hold[id+"x"])
+			Eventually(func() []string { return s.listed(host, id) }, patience).Should(Equal([]string{id + "x"}))
+			Expect(s.gen.resumed(id + "x")).To(HaveLen(1))
+		}
+		Expect(s.book("h1").Open() + s.book("h2").Open()).To(BeZero())
+	})
+
+	It("is begun by its home though the message of its start is lost", func() {
+		s.home, s.deaf = "h3", map[string]bool{"h3": true}
+		accept("h1", submission("one", "a1"))
+		Eventually(func() []string { return s.listed("h1", "one") }, patience).Should(Equal([]string{"a1"}))
+		Expect(s.gen.resumed("a1")).To(HaveLen(1))
+	})
+
+	It("is kept by the host that accepts it while its home is down", func() {
+		s.home = "h3"
+		s.kill("h3")
+		accept("h1", submission("one", "a1"))
+		Eventually(func() []string { return s.listed("h2", "one") }, patience).Should(Equal([]string{"a1"}))
+		record, err := s.store.Get(ctx, batch.RecordPrefix+"one")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(record.Value)).To(ContainSubstring(`"owner":"h1"`))
+	})
+
+	// Pattern: all hosts have restarted, and callers read old batches at all of them.
+	It("is read from the store by one host for all once nobody runs it", func() {
+		accept("h1", submission("one", "a1", "a2"))
+		Eventually(func() []string { return s.listed("h1", "one") }, patience).Should(HaveLen(2))
+		Expect(s.book("h1").End(ctx, "one", "w")).To(Succeed())
+		for _, host := range []string{"h1", "h2", "h3"} {
+			s.kill(host)
+		}
+		for _, host := range []string{"h1", "h2", "h3"} {
+			s.start(host, 2)
+		}
+		s.home = "h2"
+		var mu sync.Mutex
+		reads := 0
+		s.store.Inject(func(op, key string) objects.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			if strings.HasPrefix(key, batch.LogPrefix) {
+				reads++
+			}
+			return objects.None
+		})
+		for range 2 {
+			for _, host := range []string{"h1", "h2", "h3"} {
+				Eventually(func() []string { return s.listed(host, "one") }, patience).Should(ConsistOf("a1", "a2"))
+			}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		Expect(reads).To(Equal(1))
+	})
+
 	// Pattern: an answer to the caller before the state that it promises stands.
 	DescribeTable("is refused only when no write can take effect any more", func(fault objects.Fault, kind string, want any) {
 		limit := 300 * time.Millisecond // ends the tries that can't succeed
@@ -429,7 +518,7 @@
 			return now.Version
 		}, patience).Should(BeNumerically(">", record.Version))
 		// The new owner's items wait as well; a result of the old owner comes first.
-		_, err = s.store.Put(ctx, batch.LogPrefix+"one.00000", []byte(`[{"id":"a1","state":"completed","text":"x","versions":[5]}]`), 0)
+		_, err = s.store.Put(ctx, batch.LogPrefix+"one/00000", []byte(`[{"id":"a1","state":"completed","text":"x","versions":[5]}]`), 0)
 		Expect(err).NotTo(HaveOccurred())
 		_ = old
 		Eventually(func() []string { return s.listed("h1", "one") }, patience).Should(Equal([]string{"a1"}))
--- a/internal/rollout/batch/book.go
+++ b/internal/rollout/batch/book.go
@@ -61,9 +61,25 @@
 	Body(ctx context.Context, host string, request BodyRequest) (BodyReply, error)
 	End(ctx context.Context, host, id string) error
 	Partials(ctx context.Context, host string, request PartialsRequest) (PartialsReply, error)
-	// Ping says whether a host answers and reaches the store, and its
-	// incarnation.
-	Ping(ctx context.Context, host string) (incarnation uint64, healthy bool)
+	Ping(ctx context.Context, host string) (Pulse, error)
+	// First returns the first hosts in the order of Rank.
+	First(key string, count int) []string
+	Start(ctx context.Context, host string, request StartRequest) error
+}
+
+// Pulse is what a host says of itself. Healthy says that it reaches the store,
+// Open that it takes new batches as well.
+type Pulse struct {
+	Incarnation uint64
+	Healthy     bool
+	Open        bool
+}
+
+// StartRequest tells a host that it owns a batch that was just accepted.
+type StartRequest struct {
+	Batch   Batch  `cbor:"1,keyasint"`
+	Record  Record `cbor:"2,keyasint"`
+	Version uint64 `cbor:"3,keyasint"` // of the record
 }
 
 // ReadRequest asks the owner for results.
@@ -71,6 +87,8 @@
 	ID    string        `cbor:"1,keyasint"`
 	After int           `cbor:"2,keyasint"`
 	Wait  time.Duration `cbor:"3,keyasint"`
+	// Keep asks for what the store holds when the host does not run the batch.
+	Keep bool `cbor:"4,keyasint,omitempty"`
 }
 
 // ReadReply answers a ReadRequest. Owned is false when the host asked does not
--- a/internal/rollout/batch/commands.go
+++ b/internal/rollout/batch/commands.go
@@ -38,9 +38,10 @@
 	if err := b.ledger().writeBody(ctx, batch.ID, parts); err != nil {
 		return &UnavailableError{Err: err, After: comeBackStore} // a body alone runs nothing
 	}
+	owner, incarnation := b.home(ctx, batch)
 	record := Record{
 		Workspace: batch.Workspace, Route: batch.Route, Model: batch.Model, Floor: batch.Floor, Step: batch.Step, Tokens: batch.Tokens(), Total: len(batch.Items), Parts: len(parts),
-		Submitted: time.Now().UnixMilli(), Owner: b.Host, Incarnation: b.Incarnation, Epoch: 1,
+		Submitted: time.Now().UnixMilli(), Owner: owner, Incarnation: incarnation, Epoch: 1,
 	}
 	return b.create(ctx, batch, record)
 }
@@ -68,7 +69,7 @@
 		switch {
 		case err == nil:
 			b.learn(batch.ID, record, stored.Version)
-			b.begin(batch, record, nil, 0) //nolint:contextcheck // the work outlives the call
+			b.hand(batch, record, stored.Version) //nolint:contextcheck // the work outlives the call
 			return nil
 		case conflicts(err):
 			return b.adoptOwn(ctx, batch)
@@ -92,8 +93,8 @@
 		return &UnsureError{Err: err}
 	}
 	b.learn(batch.ID, record, version)
-	if record.Owner == b.Host && record.Incarnation == b.Incarnation && !record.Ended {
-		b.begin(batch, record, nil, 0) //nolint:contextcheck // the work outlives the call
+	if record.Epoch == 1 && !record.Ended { // a later owner has begun by itself
+		b.hand(batch, record, version) //nolint:contextcheck // the work outlives the call
 	}
 	return nil
 }
@@ -137,7 +138,8 @@
 
 func (b *Book) end(ctx context.Context, id, workspace string) error {
 	foreign := false
-	record, version, err := b.ledger().change(ctx, id, func(r *Record) bool {
+	from, _ := b.lookup(id)
+	record, version, err := b.ledger().change(ctx, id, from, func(r *Record) bool {
 		foreign = r.Workspace != workspace
 		changed := !r.Ended && !foreign
 		r.Ended = true
--- /dev/null
+++ b/internal/rollout/batch/home.go
@@ -0,0 +1,70 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+)
+
+// The home of a workspace's batches along a route is the first host in rank for
+// both that takes batches. Batches that were spread over all hosts would open
+// their connections to the engines anew, one for each generation.
+
+const (
+	// homeTries is the number of hosts that are asked before this one keeps the
+	// batch.
+	homeTries = 2
+	// homeTimeout bounds one question, on the way to an acceptance that trainers
+	// want within a few hundred milliseconds.
+	homeTimeout = 100 * time.Millisecond
+	// startTimeout bounds the message that hands a batch over; a home that missed
+	// it finds the batch by its watch.
+	startTimeout = time.Second
+)
+
+// home returns the host that is to own a batch and its incarnation.
+func (b *Book) home(ctx context.Context, batch Batch) (string, uint64) {
+	for _, host := range b.Peers.First(batch.Workspace+"\x00"+batch.Route, homeTries) {
+		if host == b.Host {
+			break
+		}
+		asking, cancel := context.WithTimeout(ctx, homeTimeout)
+		pulse, err := b.Peers.Ping(asking, host)
+		cancel()
+		if err == nil && pulse.Open {
+			return host, pulse.Incarnation
+		}
+	}
+	return b.Host, b.Incarnation
+}
+
+// hand starts an accepted batch here or tells its owner to.
+func (b *Book) hand(batch Batch, record Record, version uint64) {
+	if record.Owner == b.Host {
+		if record.Incarnation == b.Incarnation {
+			b.begin(batch, record, nil, 0)
+		}
+		return
+	}
+	b.mu.Lock()
+	working := b.ctx
+	b.mu.Unlock()
+	b.group.Go(func() {
+		ctx, cancel := context.WithTimeout(working, startTimeout)
+		defer cancel()
+		if err := b.Peers.Start(ctx, record.Owner, StartRequest{Batch: batch, Record: record, Version: version}); err != nil {
+			b.Log.Emit(event.BatchNoticeFailed, "batch", batch.ID, "owner", record.Owner, "err", err.Error())
+		}
+	})
+}
+
+// ServeStart takes over a batch that another host has accepted for this one.
+func (b *Book) ServeStart(request StartRequest) {
+	record := request.Record
+	if record.Owner != b.Host || record.Incarnation != b.Incarnation {
+		return // meant for an earlier process of this host
+	}
+	b.learn(request.Batch.ID, record, request.Version)
+	b.begin(request.Batch, record, nil, 0)
+}
--- a/internal/rollout/batch/objects.go
+++ b/internal/rollout/batch/objects.go
@@ -27,7 +27,7 @@
 
 func bodyKey(id string, part int) string { return fmt.Sprintf("%s%s.%d", BodyPrefix, id, part) }
 
-func logKey(id string, chunk int) string      { return fmt.Sprintf("%s%s.%05d", LogPrefix, id, chunk) }
+func logKey(id string, chunk int) string      { return fmt.Sprintf("%s%s/%05d", LogPrefix, id, chunk) }
 func missing(err error) bool                  { return isError[*object.NotFoundError](err) }
 func conflicts(err error) bool                { return isError[*object.ConflictError](err) }
 func unsure(err error) bool                   { return isError[*object.UnknownError](err) }
@@ -119,13 +119,17 @@
 }
 
 // change applies a change to a record until it stands or turns out needless:
-// apply returns false when nothing is to be done. The record as it stands is
-// returned with its version.
-func (l ledger) change(ctx context.Context, id string, apply func(*Record) bool) (Record, uint64, error) {
+// apply returns false when nothing is to be done. It begins with what is known
+// of the record, which may be old, and reads it only when its version is not
+// the store's. The record as it stands is returned with its version.
+func (l ledger) change(ctx context.Context, id string, from known, apply func(*Record) bool) (Record, uint64, error) {
+	record, version := from.Record, from.version
 	for {
-		record, version, err := l.record(ctx, id)
-		if err != nil {
-			return Record{}, 0, err
+		if version == 0 {
+			var err error
+			if record, version, err = l.record(ctx, id); err != nil {
+				return Record{}, 0, err
+			}
 		}
 		if !apply(&record) {
 			return record, version, nil
@@ -141,6 +145,7 @@
 		if !conflicts(err) && !unsure(err) || ctx.Err() != nil {
 			return Record{}, 0, err
 		}
+		version = 0
 	}
 }
 
@@ -153,14 +158,25 @@
 	return decode[[]Result](found.Value)
 }
 
-// log reads a batch's log from a chunk on.
+// log reads a batch's log from a chunk on, with one call.
 func (l ledger) log(ctx context.Context, id string, from int) ([][]Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	listed, err := l.store.List(ctx, LogPrefix+id+"/")
+	if err != nil {
+		return nil, err
+	}
+	byKey := make(map[string][]byte, len(listed.Objects))
+	for _, o := range listed.Objects {
+		byKey[o.Key] = o.Value
+	}
 	var chunks [][]Result
 	for {
-		results, err := l.chunk(ctx, id, from+len(chunks))
-		if missing(err) {
+		value, ok := byKey[logKey(id, from+len(chunks))]
+		if !ok {
 			return chunks, nil
 		}
+		results, err := decode[[]Result](value)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/rollout/batch/queries.go
+++ b/internal/rollout/batch/queries.go
@@ -28,7 +28,7 @@
 		if page, ok := b.fromOwner(ctx, record, ReadRequest{ID: id, After: after, Wait: left}); ok {
 			return page, nil
 		}
-		page, err := b.fromStore(ctx, id, record, after)
+		page, err := b.fromKeeper(ctx, id, record, after)
 		if err != nil || len(page.Results) > 0 || left == 0 || record.Ended {
 			return page, err
 		}
@@ -98,11 +98,32 @@
 	if w := b.work(request.ID); w != nil {
 		return ReadReply{Owned: true, Page: w.read(ctx, request.After, request.Wait)}
 	}
-	k, _ := b.lookup(request.ID)
+	k, known := b.lookup(request.ID)
 	page, ok := b.fromMemory(request, k.Total)
+	if !ok && known && request.Keep {
+		kept, err := b.fromStore(ctx, request.ID, k.Record, request.After)
+		page, ok = kept, err == nil // the reader asks the store itself then
+	}
 	return ReadReply{Owned: ok, Page: page}
 }
 
+// fromKeeper reads a batch that nobody runs through the first host in rank for
+// it, which keeps what it has read, so that a log is read from the store once
+// and not once for each host.
+func (b *Book) fromKeeper(ctx context.Context, id string, record Record, after int) (Page, error) {
+	keeper := b.Peers.First(id, 1)
+	if len(keeper) == 0 || keeper[0] == b.Host || keeper[0] == record.Owner {
+		return b.fromStore(ctx, id, record, after)
+	}
+	asking, cancel := context.WithTimeout(ctx, peerMargin)
+	defer cancel()
+	reply, err := b.Peers.Read(asking, keeper[0], ReadRequest{ID: id, After: after, Keep: true})
+	if err != nil || !reply.Owned {
+		return b.fromStore(ctx, id, record, after)
+	}
+	return reply.Page, nil
+}
+
 // fromStore reads the log. Chunks never change, so that those read before are
 // kept.
 func (b *Book) fromStore(ctx context.Context, id string, record Record, after int) (Page, error) {
--- a/internal/rollout/batch/takeover.go
+++ b/internal/rollout/batch/takeover.go
@@ -13,6 +13,9 @@
 	ownerPoll    = 400 * time.Millisecond
 	ownerTimeout = 500 * time.Millisecond
 	ownerMisses  = 3 // pings in a row without an answer from a healthy owner
+	// startMisses is the number of looks that a batch which this host owns may
+	// wait for the message that hands it over.
+	startMisses = 2
 	// rankMisses is the number of further misses that each later rank waits, so
 	// that one host at a time tries.
 	rankMisses = 3
@@ -28,7 +31,7 @@
 func (b *Book) watchOwners(ctx context.Context) {
 	ticker := time.NewTicker(ownerPoll)
 	defer ticker.Stop()
-	misses := map[string]int{} // by owner; by batch where there is none
+	misses := map[string]int{} // by owner; by batch where there is none to ask
 	complete := map[string]bool{}
 	for {
 		select {
@@ -66,7 +69,7 @@
 func (b *Book) pingOwners(ctx context.Context, open map[string]known, misses map[string]int) {
 	asked := map[string]bool{}
 	for id, k := range open {
-		if k.Owner == "" {
+		if k.Owner == "" || k.Owner == b.Host && k.Incarnation == b.Incarnation {
 			asked[id] = true
 			misses[id]++
 			continue
@@ -76,9 +79,9 @@
 		}
 		asked[k.Owner] = true
 		pinging, cancel := context.WithTimeout(ctx, ownerTimeout)
-		incarnation, healthy := b.Peers.Ping(pinging, k.Owner)
+		pulse, err := b.Peers.Ping(pinging, k.Owner)
 		cancel()
-		if healthy && incarnation == k.Incarnation {
+		if err == nil && pulse.Healthy && pulse.Incarnation == k.Incarnation {
 			misses[k.Owner] = 0
 		} else {
 			misses[k.Owner]++
@@ -96,8 +99,8 @@
 	if !b.Reaches() {
 		return false
 	}
-	if k.Owner == b.Host {
-		return true // of this host's life before its restart
+	if k.Owner == b.Host { // of an earlier process, or the message got lost
+		return k.Incarnation != b.Incarnation || misses[id] > startMisses
 	}
 	rank := b.Peers.Rank(id, k.Owner, k.Last)
 	if k.Owner == "" { // given up: the first in rank may be gone too
@@ -125,7 +128,7 @@
 		b.Log.Emit(event.BatchUnreadable, "batch", id, "err", err.Error())
 		return false
 	}
-	record, version, err := b.ledger().change(ctx, id, func(r *Record) bool {
+	record, version, err := b.ledger().change(ctx, id, k, func(r *Record) bool {
 		if r.Ended || r.Epoch != k.Epoch {
 			return false
 		}
@@ -158,7 +161,8 @@
 	case <-time.After(leaveRunning):
 	}
 	for id := range b.running() {
-		record, version, err := b.ledger().change(ctx, id, func(r *Record) bool {
+		from, _ := b.lookup(id)
+		record, version, err := b.ledger().change(ctx, id, from, func(r *Record) bool {
 			if r.Ended || r.Owner != b.Host || r.Incarnation != b.Incarnation {
 				return false
 			}
--- a/internal/rollout/batch/work.go
+++ b/internal/rollout/batch/work.go
@@ -12,9 +12,10 @@
 
 // Bounds of an owner's work.
 const (
-	// spacing is the least time between two writes of a batch's results. Trainers
-	// read twice a second, and each call to the store is billed.
-	spacing = 400 * time.Millisecond
+	// spacing is the least time between two writes of a batch's results, but for
+	// that which makes the step whole: each call to the store is billed, and a
+	// trainer goes on only with a whole step.
+	spacing = 900 * time.Millisecond
 	// leastGather lets results that end together be written together.
 	leastGather = 30 * time.Millisecond
 	// chunkBytes bounds the text of one object of the log.
