--- a/internal/backend/pool/commands.go
+++ b/internal/backend/pool/commands.go
@@ -83,19 +83,23 @@
 	})
 }
 
-// Faster says whether another server would take the request now and generates
-// faster than gap between events by at least the given factor.
-func (c *Choice) Faster(now time.Time, need Need, gap time.Duration, factor float64) bool {
+// Quickest returns the shortest pace among the other servers that would take
+// the request now, zero when none is known.
+func (c *Choice) Quickest(now time.Time, need Need) time.Duration {
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var least time.Duration
 	for _, e := range p.servers {
-		fast := e.pace > 0 && now.Sub(e.paced) < paceExpiry && factor*float64(e.pace) < float64(gap)
-		if e.Name != c.Server.Name && fast && e.eligible(now, need) && e.load(now) < float64(e.slots()) {
-			return true
+		known := e.pace > 0 && now.Sub(e.paced) < paceExpiry
+		if e.Name == c.Server.Name || !known || least > 0 && e.pace >= least {
+			continue
+		}
+		if e.eligible(now, need) && e.load(now) < float64(e.slots()) {
+			least = e.pace
 		}
 	}
-	return false
+	return least
 }
 
 // Succeeded ends the backoff of the server.
--- a/internal/fleet/lease/answer.go
+++ b/internal/fleet/lease/answer.go
@@ -47,11 +47,20 @@
 	if record.Host == "" {
 		return d.wait(now) // rule 8
 	}
+	if d.isEarlier(record) {
+		return d.wait(now + d.Config.filled().Flight) // rule 9
+	}
 	d.phase = dutyWatching
 	d.next = now
 	return d
 }
 
+// isEarlier says whether a record names an earlier process of this host that is
+// known to have ended.
+func (d Duty) isEarlier(record DutyRecord) bool {
+	return d.Config.Restarts && record.Host == d.Host && record.Incarnation < d.Incarnation
+}
+
 // wait goes to the wait of rule 5 with its end at the instant free.
 func (d Duty) wait(free time.Duration) Duty {
 	d.phase = dutyWaiting
@@ -107,7 +116,7 @@
 func (d Duty) expelled(now time.Duration) Duty {
 	switch d.update.State {
 	case commit.Won:
-		return d.wait(now + d.Config.filled().Wait())
+		return d.wait(max(now, d.silent+d.Config.filled().Wait()))
 	case commit.Lost, commit.Refused:
 		d.phase = dutyReading
 		d.next = now
--- a/internal/fleet/lease/duty.go
+++ b/internal/fleet/lease/duty.go
@@ -19,11 +19,14 @@
 	dutyReleasing
 )
 
-// Duty is a host's part in one duty: a value without clock or I/O. Set Name
-// and Config; the rest starts at zero.
+// Duty is a host's part in one duty: a value without clock or I/O. Set the
+// exported fields; the rest starts at zero.
 type Duty struct {
-	Name    string
-	Config  Config
+	Name        string
+	Host        string
+	Incarnation uint64
+	Config      Config
+
 	phase   dutyPhase
 	next    time.Duration // no call before this instant
 	version uint64        // of the duty's object as seen
@@ -111,7 +114,7 @@
 
 // reset starts again from the duty's object.
 func (d Duty) reset() Duty {
-	return Duty{Name: d.Name, Config: d.Config, next: d.next}
+	return Duty{Name: d.Name, Host: d.Host, Incarnation: d.Incarnation, Config: d.Config, next: d.next}
 }
 
 func (d Duty) take(session Session, now time.Duration) (Duty, commit.Call, bool) {
--- a/internal/fleet/lease/holder.go
+++ b/internal/fleet/lease/holder.go
@@ -69,7 +69,7 @@
 	h.session = Session{Host: h.Host, Incarnation: h.Incarnation, Config: h.Config}
 	h.held = make([]bool, len(h.Duties))
 	for _, name := range h.Duties {
-		h.duties = append(h.duties, Duty{Name: name, Config: h.Config})
+		h.duties = append(h.duties, Duty{Name: name, Host: h.Host, Incarnation: h.Incarnation, Config: h.Config})
 	}
 }
 
@@ -162,6 +162,27 @@
 	}
 }
 
+// LastHolder returns the host that a duty's object names, empty when nobody has
+// held it or the last holder has given it up.
+func (h *Holder) LastHolder(ctx context.Context, duty string) (string, error) {
+	answer := h.call(ctx, commit.Call{Op: commit.Get, Key: DutyPrefix + duty})
+	if answer.Kind == commit.Missing {
+		return "", nil
+	}
+	record, ok := decode[DutyRecord](answer.Value)
+	if answer.Kind != commit.OK || !ok {
+		return "", &RecordError{Duty: duty}
+	}
+	return record.Host, nil
+}
+
+// RecordError says that a duty's object could not be read.
+type RecordError struct {
+	Duty string
+}
+
+func (e *RecordError) Error() string { return "object of duty " + e.Duty + " can't be read" }
+
 // Release gives up every duty and contends for none any more. It returns when
 // the duties are released or the context ends. The caller has stopped sending
 // orders; Held is false from the call on.
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -13,10 +13,12 @@
 //  4. A successor that saw no renewal for Term first marks the session
 //     expelled, by a conditional update of the version that it saw. The update
 //     fails if the holder renewed meanwhile, and makes each later renewal fail.
-//  5. After the update, or after it has first seen the session expelled or
-//     replaced, the successor waits Term, Margin and Flight. The holder's
-//     belief, and every order that it sent within it, has ended by then even
-//     if the two clocks differ in rate by Margin over this time.
+//  5. The successor then waits out the holder's belief, which began before the
+//     successor first saw the version that it marked: it waits until Term,
+//     Margin and Flight have passed since then. If it finds the session expelled
+//     by another or replaced, it waits as long from there. The holder's belief,
+//     and every order that it sent within it, has ended by then even if the two
+//     clocks differ in rate by Margin over this time.
 //  6. Only then it takes the duty's object, by a conditional update of the
 //     version that it saw first.
 //  7. A read may return an old value. It is used to find the version for a
@@ -24,6 +26,8 @@
 //     replaced when the session's object is younger than the duty's.
 //  8. A holder that gives up a duty stops first, waits Flight and Margin, and then
 //     releases the object; the next holder need not wait.
+//  9. Where Config.Restarts is set, an earlier process of a host has ended before
+//     the next one starts: what it held is taken again after Flight.
 package lease
 
 import (
@@ -43,6 +47,8 @@
 	Renew time.Duration
 	// Poll is the time between two reads of an object that another holds.
 	Poll time.Duration
+	// Restarts says that a host never runs two processes at once. Rule 9.
+	Restarts bool
 }
 
 // The default times.
--- a/internal/host/node/learn.go
+++ b/internal/host/node/learn.go
@@ -63,11 +63,17 @@
 // watchDuty notes when the duty is lost, after which this host does not contend
 // for a while.
 func (n *Node) watchDuty(ctx context.Context) {
+	n.awaitPlace(ctx)
+	if n.Directory.Rank(Duty) < contenders {
+		last, err := n.holder.LastHolder(ctx, Duty)
+		n.resumes.Store(err == nil && last == n.Settings.Host) // else the host waits
+	}
 	held := false
 	every(ctx, newsTurn, func() {
 		_, now := n.holder.Held(Duty)
 		if held && !now {
 			n.lost.Store(int64(n.clock()))
+			n.resumes.Store(false)
 		}
 		held = now
 	})
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -136,6 +136,7 @@
 var leaseTimes = lease.Config{
 	Term: 1700 * time.Millisecond, Margin: 250 * time.Millisecond, Flight: 700 * time.Millisecond,
 	Renew: 500 * time.Millisecond, Poll: 400 * time.Millisecond,
+	Restarts: true, // the platform starts a host's next process after the end of the one before
 }
 
 const (
@@ -177,6 +178,7 @@
 	lost     atomic.Int64 // instant by clock at which the duty was last lost
 	held     atomic.Int64 // instant by clock at which another host said that it holds the duty
 	time     lease.Clock
+	resumes  atomic.Bool     // the duty's last holder is an earlier process of this host
 	unread   bool            // the newest configuration can't be read; owned by its follower
 	retired  map[string]bool // entries answered; owned by their follower
 	placed   chan struct{}   // closed once the list of hosts is known
@@ -259,10 +261,11 @@
 }
 
 // contends says whether this host may take the duty. One that just started or
-// lost it waits, so that two hosts don't take turns.
+// lost it waits, so that two hosts don't take turns, unless nobody has held the
+// duty since an earlier process of this host.
 func (n *Node) contends(string) bool {
 	now := n.clock()
-	settled := now-time.Duration(n.lost.Load()) > n.Settings.Turns
+	settled := n.resumes.Load() || now-time.Duration(n.lost.Load()) > n.Settings.Turns
 	vacant := now-time.Duration(n.held.Load()) > holderSilence
 	return settled && vacant && n.Directory.Rank(Duty) < contenders && n.Ready()
 }
--- a/internal/rollout/batch/generate.go
+++ b/internal/rollout/batch/generate.go
@@ -22,11 +22,6 @@
 	// stall is the longest gap between events: ten times the largest gap that
 	// trainers allow, well below a crashed engine's silence.
 	stall = 1500 * time.Millisecond
-	// moveFactor is how much faster another engine has to be for a move, which
-	// costs the reading of the prompt and the text so far: some milliseconds.
-	moveFactor = 1.6
-	// paceWindow is the number of events over which a pace is measured.
-	paceWindow = 5
 	// again is the pause before an item is offered to engines once more.
 	again = 40 * time.Millisecond
 	// scoreAgain is the pause before a scorer is called once more.
@@ -234,42 +229,21 @@
 		if at, found := slices.BinarySearch(g.versions, version); !found {
 			g.versions = slices.Insert(g.versions, at, version)
 		}
-		if gap, ok := pace.event(time.Now()); ok && choice.Faster(time.Now(), g.need(), gap, moveFactor) {
-			return &movedError{gap: gap}
+		if gap, ok := pace.event(time.Now()); ok && g.runs < mostRuns {
+			if quickest := choice.Quickest(time.Now(), g.need()); MovePays(len(g.texts), gap, quickest) {
+				return &movedError{gap: gap, quickest: quickest}
+			}
 		}
 	}
 }
 
-// movedError ends an attempt on an engine that has become slow.
+// movedError ends an attempt on an engine that is slower than another one.
 type movedError struct {
-	gap time.Duration // between events
-}
-
-func (e *movedError) Error() string { return "another engine is faster than " + e.gap.String() }
-
-// pacer measures the pace of one run.
-type pacer struct {
-	choice *pool.Choice
-	events int
-	since  time.Time // of the window's first event
+	gap, quickest time.Duration // between events
 }
 
-// event takes an event in. At the end of each window it returns the time
-// between two events.
-func (p *pacer) event(now time.Time) (time.Duration, bool) {
-	if p.events%paceWindow == 0 {
-		gap := now.Sub(p.since) / paceWindow
-		first := p.events == 0
-		p.since = now
-		p.events++
-		if first {
-			return 0, false
-		}
-		p.choice.Paced(now, gap)
-		return gap, true
-	}
-	p.events++
-	return 0, false
+func (e *movedError) Error() string {
+	return "another engine makes an event in " + e.quickest.String() + ", not in " + e.gap.String()
 }
 
 // score calls the item's scorer until it answers, or has failed too often.
--- /dev/null
+++ b/internal/rollout/batch/move.go
@@ -0,0 +1,59 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
+)
+
+// A step ends with its longest generations, and engines differ in speed. A
+// generation that turns out long goes on at a faster engine once one has room:
+// the engine reads the prompt and the text so far, which takes milliseconds.
+
+const (
+	// moveCost is the time that a move takes: a connection, the reading of the
+	// text and the first event.
+	moveCost = 150 * time.Millisecond
+	// restShare is the expected rest of a generation as a share of what it has
+	// made: lengths have a long tail, so that the longer one is the longer it goes on.
+	restShare = 0.5
+	// mostRuns is the number of runs up to which a generation is moved for speed.
+	mostRuns = 4
+	// paceWindow is the number of events over which a pace is measured.
+	paceWindow = 5
+)
+
+// MovePays says whether a generation that has made some events, one in each gap,
+// ends sooner at an engine that makes one in each quickest; zero is unknown.
+func MovePays(made int, gap, quickest time.Duration) bool {
+	if quickest <= 0 {
+		return false
+	}
+	rest := restShare * float64(made)
+	return rest*float64(gap-quickest) > float64(moveCost)
+}
+
+// pacer measures the pace of one run.
+type pacer struct {
+	choice *pool.Choice
+	events int
+	since  time.Time // of the window's first event
+}
+
+// event takes an event in. At the end of each window it returns the time
+// between two events.
+func (p *pacer) event(now time.Time) (time.Duration, bool) {
+	if p.events%paceWindow == 0 {
+		gap := now.Sub(p.since) / paceWindow
+		first := p.events == 0
+		p.since = now
+		p.events++
+		if first {
+			return 0, false
+		}
+		p.choice.Paced(now, gap)
+		return gap, true
+	}
+	p.events++
+	return 0, false
+}
