--- a/internal/fleet/peer/relay.go
+++ b/internal/fleet/peer/relay.go
@@ -22,8 +22,10 @@
 	// relayTries is the number of peers that are asked for one call.
 	relayTries = 2
 	// probeEvery is the least time between two tries of the store, which bills
-	// them, also when it refuses. Only a host that makes calls tries.
-	probeEvery = time.Second
+	// them, also when it refuses. Only a host that makes calls tries. The time
+	// doubles up to probeSeldom while the store stays away.
+	probeEvery  = time.Second
+	probeSeldom = 4 * time.Second
 	// probePatience is how long a call waits for such a try before it goes to
 	// peers; a store that is well answers in milliseconds.
 	probePatience = 50 * time.Millisecond
@@ -50,7 +52,8 @@
 	mu      sync.Mutex
 	down    bool
 	probing bool
-	tried   time.Time // the latest call without an answer
+	tried   time.Time     // the latest call without an answer
+	wait    time.Duration // until the next try
 }
 
 // Down says whether the store is out of direct reach.
@@ -64,6 +67,9 @@
 func (h *Health) lost(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if !h.down {
+		h.wait = probeEvery
+	}
 	h.down, h.tried = true, now
 }
 
@@ -71,7 +77,7 @@
 func (h *Health) due(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.down || h.probing || now.Sub(h.tried) < probeEvery {
+	if !h.down || h.probing || now.Sub(h.tried) < h.wait {
 		return false
 	}
 	h.probing = true
@@ -83,6 +89,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.down, h.probing, h.tried = !reached, false, now
+	h.wait = min(2*h.wait, probeSeldom)
 }
 
 // unreached says whether a call failed for want of the store and certainly had
--- a/internal/rollout/step/assign.go
+++ b/internal/rollout/step/assign.go
@@ -170,13 +170,9 @@
 // ends returns how long a new attempt at a slot is expected to take on an
 // engine.
 func (l *Ledger) ends(at int, e *candidate) time.Duration {
-	s := &l.slots[at]
-	rest := l.length(s.group, 0)
-	if s.resume != nil {
-		rest = max(rest-float64(s.resume.Tokens), rest/10)
-	}
+	rest, _ := l.remaining(&l.slots[at], e)
 	ends := e.Wait + seconds(rest/speedOf(e))
-	if !e.Warm[l.plan.Groups[s.group].Prefix] {
+	if !e.Warm[l.plan.Groups[l.slots[at].group].Prefix] {
 		ends += e.Cold
 	}
 	if l.policy.ReleasePeriod > 0 {
@@ -186,6 +182,28 @@
 	return ends
 }
 
+// remaining returns the tokens that a new attempt at a slot is expected to generate
+// on an engine, and whether it goes on from the text that the slot has.
+//
+// Text under the oldest version that is still fresh is lost with the next
+// release. It is of use only if its rest, and with the chance of a release
+// before its end a whole generation, takes less than a whole generation now.
+func (l *Ledger) remaining(s *slot, e *candidate) (tokens float64, resumes bool) {
+	whole := l.length(s.group, s.reached)
+	if s.resume == nil {
+		return whole, false
+	}
+	rest := max(whole-float64(s.resume.Tokens), whole/10)
+	if l.policy.ReleasePeriod <= 0 || sample.Fresh(s.resume.Versions, l.newest+1, l.state.Bound) {
+		return rest, true
+	}
+	lost := min(1, rest/speedOf(e)/l.policy.ReleasePeriod.Seconds())
+	if rest+lost*whole < whole {
+		return rest, true
+	}
+	return whole, false
+}
+
 // behind returns by how many versions a version is past the bound.
 func behind(version, newest, bound uint64) uint64 {
 	if newest <= version+bound {
@@ -208,6 +226,7 @@
 // version that the engine reports only as a guess; the stream alone labels it.
 func (l *Ledger) start(at int, e *candidate, now time.Time, hedge bool) Work {
 	s := &l.slots[at]
+	_, resumes := l.remaining(s, e)
 	s.attempts++
 	s.running++
 	a := &attempt{id: l.attemptID(s), slot: at, engine: e.Name, hedge: hedge, started: now, moved: now, speed: speedOf(e) / e.pace}
@@ -220,8 +239,12 @@
 		MaxTokens: group.MaxTokens, Seed: int64(s.group)<<32 | int64(s.index)<<8 | int64(s.attempts&0xff),
 	}
 	if !hedge && s.resume != nil {
-		request.Resume = s.resume
-		a.versions, a.tokens, a.resumed = s.resume.Versions, s.resume.Tokens, s.resume.Tokens
+		if resumes {
+			request.Resume = s.resume
+			a.versions, a.tokens, a.resumed = s.resume.Versions, s.resume.Tokens, s.resume.Tokens
+		} else {
+			l.stats.StaleTokens += s.resume.Tokens
+		}
 		s.resume = nil
 	}
 	l.running[a.id] = a
--- a/internal/rollout/step/complete.go
+++ b/internal/rollout/step/complete.go
@@ -31,6 +31,7 @@
 	}
 	if tokens > a.tokens {
 		a.tokens, a.moved = tokens, now
+		l.slots[a.slot].reached = max(l.slots[a.slot].reached, tokens)
 	}
 	l.learn(a, now)
 	a.versions = versions
@@ -167,6 +168,7 @@
 		return
 	}
 	l.end(a)
+	l.slots[a.slot].reached = max(l.slots[a.slot].reached, resume.Tokens)
 	if len(resume.Versions) == 0 || l.hopeless(resume.Versions) {
 		l.stats.StaleTokens += a.tokens
 		return
--- a/internal/rollout/step/ledger.go
+++ b/internal/rollout/step/ledger.go
@@ -46,6 +46,7 @@
 	after    time.Time // no attempt before
 	avoid    string    // engine of the last failure
 	resume   *engine.Resume
+	reached  int // most tokens that an attempt has made
 }
 
 // attempt is one running generation.
