--- a/internal/rollout/step/ledger_test.go
+++ b/internal/rollout/step/ledger_test.go
@@ -180,6 +180,29 @@
 		Expect(l.Cancels()).To(ConsistOf(again[0].Attempt))
 	})
 
+	// Pattern: a reclaim near the bound; the text is lost seconds before its end.
+	DescribeTable("resumes text under the oldest fresh version only if it ends sooner", func(reached, tokens, version int, resumes bool) {
+		history := &step.History{}
+		for range 50 {
+			history.Add("", 10_000)
+		}
+		p := plan(1, 1)
+		p.Groups[0].MaxTokens = 40_000
+		l := ledger(p, step.Policy{ReleasePeriod: 5 * time.Minute}, history)
+		work := l.Assign(start, []step.Engine{on("spot", 4, 1)})
+		l.Observe(5)
+		l.Progress(work[0].Attempt, reached, []uint64{uint64(version)}, start)
+		l.Move(work[0].Attempt, engine.Resume{Text: "ab", Tokens: tokens, Versions: []uint64{uint64(version)}})
+		again := l.Assign(after(1), []step.Engine{on("e", 5, 1)})
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Request.Resume != nil).To(Equal(resumes))
+	},
+		Entry("near its end", 9000, 9000, 4, true),
+		Entry("far from its end", 1000, 1000, 4, false),
+		Entry("near the expected end of a sample that is known to be longer", 30_000, 9000, 4, false),
+		Entry("far from its end, under the newest version", 1000, 1000, 5, true),
+	)
+
 	It("waits as long as an engine that refuses asks", func() {
 		l := ledger(plan(1, 1), step.Policy{}, nil)
 		work := l.Assign(start, []step.Engine{on("e", 1, 1)})
