--- a/internal/fleet/peer/peer_test.go
+++ b/internal/fleet/peer/peer_test.go
@@ -141,6 +141,17 @@
 		Expect(near.Calls).To(Equal(1))
 	})
 
+	// Pattern: the store is silent towards one host; the owner of a batch repeats
+	// the write of its results.
+	It("repeats a write through a peer once its caller does", func(ctx SpecContext) {
+		away.Inject(func(string, string) objects.Fault { return objects.Dropped })
+		_, err := relay.Put(ctx, "k/a", []byte("1"), 0)
+		Expect(err).To(BeAssignableToTypeOf(&object.UnknownError{}))
+		_, err = relay.Put(ctx, "k/a", []byte("1"), 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(near.Keys("k/")).To(Equal([]string{"k/a"}))
+	})
+
 	It("says that nothing was done when no peer reaches the store", func(ctx SpecContext) {
 		near.Inject(func(string, string) objects.Fault { return objects.Down })
 		_, err := relay.Put(ctx, "k/a", []byte("1"), 0)
--- a/internal/fleet/peer/relay.go
+++ b/internal/fleet/peer/relay.go
@@ -35,7 +35,8 @@
 
 // Relay is the store as a host reaches it: directly, or through a peer while
 // the store turns this host away or can't be reached from it. A write whose
-// outcome is unknown is never relayed. Set the exported fields. It is safe for
+// outcome is unknown is not repeated here; its caller may, and then through a
+// peer, since the store may have fallen silent for this host alone. Set the exported fields. It is safe for
 // concurrent use.
 type Relay struct {
 	Direct    object.Store
@@ -182,6 +183,10 @@
 	}
 	if !r.Health.Down() {
 		reply, err := perform(ctx, r.Direct, call)
+		if _, unknown := errors.AsType[*object.UnknownError](err); unknown {
+			r.Health.lost(time.Now()) // the next try, if the caller makes one, goes through peers
+			return reply, err
+		}
 		if !unreached(err) || ctx.Err() != nil {
 			return reply, err
 		}
