--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -574,6 +574,30 @@
 	})
 
 	// Pattern: the caller of an end gets no second chance, the store is away.
+	// Pattern: a batch ends while its owner writes results, and the write stands;
+	// one host reads them from the store, another asks the owner.
+	It("shows at every host what a write that its end cut off has listed", func() {
+		writing, release := make(chan struct{}), make(chan struct{})
+		s.store.Inject(func(op, key string) objects.Fault {
+			if op == "put" && key == batch.LogPrefix+"one/00001" {
+				close(writing)
+				<-release
+			}
+			return objects.None
+		})
+		s.gen.hold["a2"] = make(chan struct{})
+		accept("h1", submission("one", "a1", "a2"))
+		Eventually(func() []string { return s.listed("h1", "one") }, patience).Should(Equal([]string{"a1"}))
+		close(s.gen.hold["a2"])
+		Eventually(writing, patience).Should(BeClosed())
+		Expect(s.book("h2").End(ctx, "one", "w")).To(Succeed())
+		Eventually(s.book("h1").Open, patience).Should(BeZero())
+		close(release)
+		for _, host := range []string{"h3", "h2", "h1"} {
+			Eventually(func() []string { return s.listed(host, "one") }, patience).Should(Equal([]string{"a1", "a2"}), host)
+		}
+	})
+
 	It("is ended later when the store does not take the end now", func() {
 		s.gen.hold["a1"] = make(chan struct{})
 		accept("h1", submission("one", "a1"))
--- a/internal/rollout/batch/book.go
+++ b/internal/rollout/batch/book.go
@@ -146,6 +146,7 @@
 	works    map[string]*work
 	logs     map[string][]Result // of batches that others run or ran, as read
 	chunks   map[string]int      // objects read of those
+	final    map[string]bool     // whether those of an ended batch can't grow any more
 	partials map[string]Partial  // of items whose batches have ended, by item
 	leaving  bool
 	group    sync.WaitGroup
@@ -173,6 +174,7 @@
 		b.works = map[string]*work{}
 		b.logs = map[string][]Result{}
 		b.chunks = map[string]int{}
+		b.final = map[string]bool{}
 		b.partials = map[string]Partial{}
 	}
 }
@@ -226,7 +228,7 @@
 func (b *Book) retire(id string, w *work) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	b.logs[id], b.chunks[id] = w.list, w.chunks
+	b.logs[id], b.chunks[id], b.final[id] = w.list, w.chunks, !w.writing
 	time.AfterFunc(keepEnded, func() { b.release(id) })
 }
 
@@ -241,6 +243,7 @@
 	defer b.mu.Unlock()
 	delete(b.logs, id)
 	delete(b.chunks, id)
+	delete(b.final, id)
 }
 
 func (b *Book) forget(id string) {
@@ -249,6 +252,7 @@
 	delete(b.known, id)
 	delete(b.logs, id)
 	delete(b.chunks, id)
+	delete(b.final, id)
 }
 
 func (b *Book) work(id string) *work {
--- a/internal/rollout/batch/queries.go
+++ b/internal/rollout/batch/queries.go
@@ -85,8 +85,9 @@
 	defer b.mu.Unlock()
 	list, ok := b.logs[request.ID]
 	k := b.known[request.ID]
-	// An owner before this one may have written more than this one has read.
-	whole := k.Ended && k.Owner == b.Host && k.Incarnation == b.Incarnation && k.Epoch == 1
+	// An owner before this one may have written more than this one has read, and
+	// so may a write of this one that the end cut off.
+	whole := k.Ended && k.Owner == b.Host && k.Incarnation == b.Incarnation && k.Epoch == 1 && b.final[request.ID]
 	if !ok || len(list) <= request.After && !whole {
 		return Page{}, false
 	}
--- a/internal/rollout/batch/work.go
+++ b/internal/rollout/batch/work.go
@@ -37,6 +37,7 @@
 
 	mu      sync.Mutex
 	list    []Result // as acknowledged by the store
+	writing bool     // a write is under way, or its outcome is unknown
 	chunks  int      // objects of the log
 	peeked  time.Time
 	listed  map[string]bool
@@ -161,13 +162,15 @@
 // append writes results as the next object of the log (rule 2). It goes on
 // until they stand or the context ends.
 func (w *work) append(ctx context.Context, results []Result) bool {
-	for ctx.Err() == nil {
+	for w.startWrite(ctx) {
 		results = slices.DeleteFunc(results, func(r Result) bool { return w.isListed(r.ID) })
 		if len(results) == 0 {
+			w.endWrite()
 			return true
 		}
 		value, err := encode(results)
 		if err != nil {
+			w.endWrite()
 			w.Log.Emit(event.BatchWriteFailed, "batch", w.batch.ID, "err", err.Error())
 			return false
 		}
@@ -191,6 +194,25 @@
 	return false
 }
 
+// startWrite notes a write that is about to be made; false when the batch has
+// ended here. An end that has not seen the note has canceled the context before.
+func (w *work) startWrite(ctx context.Context) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.writing
+	w.writing = true
+	if ctx.Err() != nil {
+		w.writing = before
+	}
+	return ctx.Err() == nil
+}
+
+func (w *work) endWrite() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writing = false
+}
+
 // merge takes in the object that stands where this owner wanted to write: its
 // own, when the answer was lost, or another owner's (rule 3).
 func (w *work) merge(ctx context.Context, chunk int) {
@@ -217,6 +239,7 @@
 		return
 	}
 	w.chunks++
+	w.writing = false
 	w.list = append(w.list, results...)
 	for _, r := range results {
 		w.listed[r.ID] = true
