--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -83,7 +83,7 @@
 	peer.Handle(mux, "read", n.Book.ServeRead)
 	peer.Handle(mux, "body", func(_ context.Context, r batch.BodyRequest) batch.BodyReply { return n.Book.ServeBody(r) })
 	peer.Handle(mux, "partials", n.Book.ServePartials)
-	peer.Handle(mux, "start", func(_ context.Context, r batch.StartRequest) empty { //nolint:contextcheck // the work outlives the call
+	peer.Handle(mux, "start", func(_ context.Context, r batch.StartRequest) empty {
 		n.Book.ServeStart(r)
 		return empty{}
 	})
--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -393,7 +393,7 @@
 		s.home = "h2"
 		var mu sync.Mutex
 		reads := 0
-		s.store.Inject(func(op, key string) objects.Fault {
+		s.store.Inject(func(_, key string) objects.Fault {
 			mu.Lock()
 			defer mu.Unlock()
 			if strings.HasPrefix(key, batch.LogPrefix) {
--- a/internal/rollout/batch/generate.go
+++ b/internal/rollout/batch/generate.go
@@ -219,15 +219,8 @@
 		if next.Number == 0 {
 			continue // the start of the answer, which names the weights
 		}
-		if next.Number != len(g.texts)+1 {
-			return &forward.BrokenError{Reason: "events out of order"}
-		}
-		if version < g.batch.Floor || g.batch.Single && len(g.versions) > 0 && g.versions[0] != version {
-			return &staleError{version: version}
-		}
-		g.texts = append(g.texts, next.Text)
-		if at, found := slices.BinarySearch(g.versions, version); !found {
-			g.versions = slices.Insert(g.versions, at, version)
+		if err := g.add(next, version); err != nil {
+			return err
 		}
 		if gap, ok := pace.event(time.Now()); ok && g.runs < mostRuns {
 			if quickest := choice.Quickest(time.Now(), g.need()); MovePays(len(g.texts), gap, quickest) {
@@ -237,6 +230,21 @@
 	}
 }
 
+// add takes an event into the text, if its number and its weights fit.
+func (g *generation) add(next Event, version uint64) error {
+	if next.Number != len(g.texts)+1 {
+		return &forward.BrokenError{Reason: "events out of order"}
+	}
+	if version < g.batch.Floor || g.batch.Single && len(g.versions) > 0 && g.versions[0] != version {
+		return &staleError{version: version}
+	}
+	g.texts = append(g.texts, next.Text)
+	if at, found := slices.BinarySearch(g.versions, version); !found {
+		g.versions = slices.Insert(g.versions, at, version)
+	}
+	return nil
+}
+
 // movedError ends an attempt on an engine that is slower than another one.
 type movedError struct {
 	gap, quickest time.Duration // between events
