--- a/internal/host/node/node_test.go
+++ b/internal/host/node/node_test.go
@@ -161,6 +161,26 @@
 	})
 
 	// Pattern: entries lapse while the store is away and come back after it.
+	// Pattern: the store's leases lapse while it is away, and it is away again.
+	It("keeps servers that a new list lacks while the store can't be asked", func() {
+		store := &objects.Store{}
+		n := New(Settings{Host: "h", Window: time.Second}, outside(store), event.Log{Sink: func(event.Entry, []any) {}})
+		n.learnServers(change("servers/a", 1, pool.Server{Service: "s", Slots: 1}, 0))
+		n.learnServers(object.Change{Whole: true})
+		asked := make(chan struct{}, 99)
+		store.Inject(func(_, key string) objects.Fault {
+			if key == "servers/a" {
+				asked <- struct{}{}
+			}
+			return objects.Down
+		})
+		n.learnServers(object.Change{Whole: true})
+		Eventually(asked, 8*time.Second).Should(Receive())
+		Expect(n.Pool.Servers()).To(HaveLen(1))
+		store.Inject(nil)
+		Eventually(n.Pool.Servers, 8*time.Second).Should(BeEmpty())
+	})
+
 	It("keeps servers that a new list lacks until they had time to come back", func() {
 		store := &objects.Store{}
 		n := New(Settings{Host: "h", Window: time.Second}, outside(store), event.Log{Sink: func(event.Entry, []any) {}})
--- a/internal/host/node/servers.go
+++ b/internal/host/node/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
@@ -66,10 +67,14 @@
 	time.AfterFunc(relistGrace, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), relistGrace)
 		defer cancel()
-		_, err := n.Outside.Store.Get(ctx, n.Outside.Keys.Servers+server.Name)
-		if err != nil {
+		_, err := n.store.Get(ctx, n.Outside.Keys.Servers+server.Name)
+		_, absent := errors.AsType[*object.NotFoundError](err)
+		switch {
+		case absent:
 			n.Pool.Remove(server.Name)
 			n.Log.Emit(event.ServerGone, "server", server.Name, "err", err.Error())
+		case err != nil: // says nothing of the server
+			n.removeLater(server)
 		}
 	})
 }
