--- a/internal/fleet/peer/mirror.go
+++ b/internal/fleet/peer/mirror.go
@@ -287,7 +287,7 @@
 // place returns the part of this host among those that are known.
 func (d *Directory) place() place {
 	d.mu.Lock()
-	known := d.placed
+	known, change := d.placed, d.change
 	d.mu.Unlock()
 	if known != nil {
 		return *known
@@ -295,7 +295,9 @@
 	found := placeOf(d.Self, d.ranked("watch"))
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.placed = &found
+	if d.change == change {
+		d.placed = &found
+	}
 	return found
 }
 
--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -62,6 +62,7 @@
 
 	mu     sync.Mutex
 	hosts  map[string]Host
+	change uint64 // counts the changes of hosts
 	placed *place // nil until asked for, and after a change
 }
 
@@ -96,6 +97,7 @@
 func (d *Directory) Learn(change object.Change) []error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.change++
 	d.placed = nil
 	if change.Whole || d.hosts == nil {
 		d.hosts = map[string]Host{}
--- a/internal/host/node/learn.go
+++ b/internal/host/node/learn.go
@@ -57,7 +57,7 @@
 	for _, err := range n.Directory.Learn(change) {
 		n.Log.Emit(event.ServerIgnored, "err", err.Error())
 	}
-	n.once.Do(func() { close(n.placed) })
+	n.place.Do(func() { close(n.placed) })
 }
 
 // watchDuty notes when the duty is lost, after which this host does not contend
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -182,7 +182,7 @@
 	unread   bool            // the newest configuration can't be read; owned by its follower
 	retired  map[string]bool // entries answered; owned by their follower
 	placed   chan struct{}   // closed once the list of hosts is known
-	once     sync.Once       // closes placed
+	place    sync.Once       // closes placed
 	done     chan struct{}
 }
 
--- a/internal/rollout/batch/home.go
+++ b/internal/rollout/batch/home.go
@@ -35,6 +35,11 @@
 		if err == nil && pulse.Open {
 			return host, pulse.Incarnation
 		}
+		reason := "takes no batches now"
+		if err != nil {
+			reason = err.Error()
+		}
+		b.Log.Emit(event.HomePassed, "batch", batch.ID, "owner", host, "reason", reason)
 	}
 	return b.Host, b.Incarnation
 }
--- a/internal/site/event/rollout.go
+++ b/internal/site/event/rollout.go
@@ -24,6 +24,7 @@
 	ItemErrored
 	BatchRefused
 	ReleaseSeen
+	HomePassed
 )
 
 func rolloutEvents() []Entry {
@@ -50,5 +51,6 @@
 		{ItemErrored, Warning, "item given up", "It failed as often as its route allows, or its time ran out.", "Look at the earlier lines of the item."},
 		{BatchRefused, Info, "batch not accepted", "The store did not take it; the caller was told when to come back.", "Look at the store when this repeats."},
 		{ReleaseSeen, Info, "release named", "A trainer named new weights.", "Nothing."},
+		{HomePassed, Info, "home of a batch passed over", "It did not answer, or takes no batches now; the next in rank or this host runs it.", "Look at the host named when this lasts."},
 	}
 }
