--- a/internal/fleet/peer/relay.go
+++ b/internal/fleet/peer/relay.go
@@ -36,8 +36,8 @@
 // Relay is the store as a host reaches it: directly, or through a peer while
 // the store turns this host away or can't be reached from it. A write whose
 // outcome is unknown is not repeated here; its caller may, and then through a
-// peer, since the store may have fallen silent for this host alone. Set the exported fields. It is safe for
-// concurrent use.
+// peer, since the store may have fallen silent for this host alone. Set the
+// exported fields. It is safe for concurrent use.
 type Relay struct {
 	Direct    object.Store
 	Directory *Directory
