--- a/internal/rollout/batch/commands.go
+++ b/internal/rollout/batch/commands.go
@@ -153,7 +153,9 @@
 	}
 	b.learn(id, record, version)
 	if record.Owner != b.Host {
-		b.group.Go(func() { b.tell(record.Owner, id) }) //nolint:contextcheck // goes on after the call
+		b.notify(id, record.Owner, endNotice, func(ctx context.Context) error { //nolint:contextcheck // goes on after the call
+			return b.Peers.End(ctx, record.Owner, id)
+		})
 	}
 	return nil
 }
@@ -179,18 +181,6 @@
 	}
 }
 
-// tell lets the owner of an ended batch know at once; its watch does so later.
-func (b *Book) tell(owner, id string) {
-	b.mu.Lock()
-	ctx := b.ctx
-	b.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, endNotice)
-	defer cancel()
-	if err := b.Peers.End(ctx, owner, id); err != nil {
-		b.Log.Emit(event.BatchNoticeFailed, "batch", id, "owner", owner, "err", err.Error())
-	}
-}
-
 // Ended stops the work on a batch whose end another host has written.
 func (b *Book) Ended(id string) {
 	k, ok := b.lookup(id)
--- a/internal/rollout/batch/home.go
+++ b/internal/rollout/batch/home.go
@@ -52,14 +52,22 @@
 		}
 		return
 	}
+	b.notify(batch.ID, record.Owner, startTimeout, func(ctx context.Context) error {
+		return b.Peers.Start(ctx, record.Owner, StartRequest{Batch: batch, Record: record, Version: version})
+	})
+}
+
+// notify tells the owner of a batch something beside the caller's work. What an
+// owner misses it learns by its watch.
+func (b *Book) notify(id, owner string, limit time.Duration, call func(context.Context) error) {
 	b.mu.Lock()
 	working := b.ctx
 	b.mu.Unlock()
 	b.group.Go(func() {
-		ctx, cancel := context.WithTimeout(working, startTimeout)
+		ctx, cancel := context.WithTimeout(working, limit)
 		defer cancel()
-		if err := b.Peers.Start(ctx, record.Owner, StartRequest{Batch: batch, Record: record, Version: version}); err != nil {
-			b.Log.Emit(event.BatchNoticeFailed, "batch", batch.ID, "owner", record.Owner, "err", err.Error())
+		if err := call(ctx); err != nil {
+			b.Log.Emit(event.BatchNoticeFailed, "batch", id, "owner", owner, "err", err.Error())
 		}
 	})
 }
--- a/internal/rollout/batch/work.go
+++ b/internal/rollout/batch/work.go
@@ -195,16 +195,15 @@
 }
 
 // startWrite notes a write that is about to be made; false when the batch has
-// ended here. An end that has not seen the note has canceled the context before.
+// ended here. An end cancels the context before it looks for the note.
 func (w *work) startWrite(ctx context.Context) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	before := w.writing
-	w.writing = true
 	if ctx.Err() != nil {
-		w.writing = before
+		return false
 	}
-	return ctx.Err() == nil
+	w.writing = true
+	return true
 }
 
 func (w *work) endWrite() {
