Log each change of the way to the store, failed watches and how sends ended

HW3017 and HW3018 are logged when the way changes, with the call that was the cause and its time; HW3019 for a peer that did not answer; HW3020 for each failed watch with the age of the news; the gauge store_direct shows the way. HW1006 names the bound, the time that was left and the end of each send.

--- a/internal/entry/forward/run.go
+++ b/internal/entry/forward/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -122,6 +123,7 @@
 	cancels map[int]context.CancelFunc
 	legs    int
 	tried   []string
+	ends    []string // how each leg ended, in order
 	refused int
 	last    error   // why the latest leg failed
 	failure *Answer // a server's own failure, handed on when nothing better comes
@@ -256,6 +258,7 @@
 // or sets the decision that follows.
 func (r *run) take(got result, decision *attempt.Decision) (Answer, bool) {
 	r.cancels[got.leg]()
+	r.ends = append(r.ends, got.end())
 	now := time.Now()
 	if load := loadOf(got); load != nil {
 		got.choice.Reported(now, *load)
@@ -284,6 +287,17 @@
 	return Answer{}, false
 }
 
+// end describes the end of a leg for the log.
+func (r result) end() string {
+	how := strconv.Itoa(r.answer.Status)
+	if _, refused := errors.AsType[*NotRunError](r.err); refused {
+		how = "refused"
+	} else if r.err != nil {
+		how = "broken"
+	}
+	return fmt.Sprintf("%s %s %dms", r.choice.Server.Name, how, r.took.Milliseconds())
+}
+
 func loadOf(got result) *pool.Load {
 	if notRun, ok := errors.AsType[*NotRunError](got.err); ok {
 		return notRun.Load
@@ -375,6 +389,7 @@
 		outcome = err.Error()
 	}
 	f.Log.Emit(event.RequestEnded, "request", request.ID, "route", route.Name, "workspace", request.Workspace,
-		"status", status, "outcome", outcome, "servers", r.tried, "sends", r.legs, "refusals", r.refused,
+		"status", status, "outcome", outcome, "servers", r.tried, "sends", r.legs, "most", r.state.MaxTries, "ends", r.ends,
+		"refusals", r.refused, "left", r.end.Sub(r.started).Milliseconds(),
 		"last", reason(r.last), "ms", time.Since(r.started).Milliseconds())
 }
--- a/internal/fleet/peer/mirror.go
+++ b/internal/fleet/peer/mirror.go
@@ -101,7 +101,7 @@
 }
 
 // Lost notes that the store or the watcher did not answer.
-func (m *Mirror) Lost(error) {
+func (m *Mirror) Lost() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.level = levelNone
--- a/internal/fleet/peer/mirror_test.go
+++ b/internal/fleet/peer/mirror_test.go
@@ -126,7 +126,7 @@
 		Expect(list.Objects[0].Key).To(Equal(prefix + "s"))
 		Expect(source.Level()).To(Equal(peer.LevelStore))
 	},
-		Entry("has lost the store", func() { mirror.Lost(nil) }),
+		Entry("has lost the store", func() { mirror.Lost() }),
 		Entry("has heard nothing of the store for a while", func() { time0.set(time.Hour + 1100*time.Millisecond) }),
 		Entry("follows a host that follows one itself", func() { mirror.Learn(change(false, 4, "b"), peer.LevelStore+2) }),
 		Entry("is down", func() { server.Close() }),
--- a/internal/fleet/peer/relay.go
+++ b/internal/fleet/peer/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 	"github.com/hyssopwall/hyssopwall/internal/platform/rest"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
 )
 
 // Times of relayed calls.
@@ -21,6 +22,9 @@
 	relayMargin = 1500 * time.Millisecond
 	// relayTries is the number of peers that are asked for one call.
 	relayTries = 2
+	// silentPeer is the time after which a peer that was no help is logged; one
+	// that does not reach the store says so within milliseconds.
+	silentPeer = 100 * time.Millisecond
 	// probeEvery is the least time between two tries of the store, which bills
 	// them, also when it refuses. Only a host that makes calls tries. The time
 	// doubles up to probeSeldom while the store stays away.
@@ -48,11 +52,15 @@
 }
 
 // Health says whether a host reaches the store by itself. The zero value says
-// that it does. It is safe for concurrent use.
+// that it does. Log receives each change of the way and each peer that was no
+// help. It is safe for concurrent use.
 type Health struct {
+	Log event.Log
+
 	mu      sync.Mutex
 	down    bool
 	probing bool
+	since   time.Time     // of the first call without an answer
 	tried   time.Time     // the latest call without an answer
 	wait    time.Duration // until the next try
 }
@@ -64,14 +72,18 @@
 	return h.down
 }
 
-// lost notes a failed direct call.
-func (h *Health) lost(now time.Time) {
+// lost notes a direct call that was made at an instant and failed.
+func (h *Health) lost(now, made time.Time, call relayed, err error) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !h.down {
-		h.wait = probeEvery
+	first := !h.down
+	if first {
+		h.wait, h.since = probeEvery, now
 	}
 	h.down, h.tried = true, now
+	h.mu.Unlock()
+	if first {
+		h.Log.Emit(event.StoreDetoured, "call", string(call.Op), "entry", call.entry(), "ms", now.Sub(made).Milliseconds(), "err", err.Error())
+	}
 }
 
 // due says whether the store is to be tried again now, and reserves the try.
@@ -88,9 +100,14 @@
 // settle takes in how a try ended.
 func (h *Health) settle(now time.Time, reached bool) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
+	back := h.down && reached
 	h.down, h.probing, h.tried = !reached, false, now
 	h.wait = min(2*h.wait, probeSeldom)
+	away := now.Sub(h.since)
+	h.mu.Unlock()
+	if back {
+		h.Log.Emit(event.StoreDirect, "ms", away.Milliseconds())
+	}
 }
 
 // unreached says whether a call failed for want of the store and certainly had
@@ -123,6 +140,9 @@
 	Wait   time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
+// entry returns the kind and name of the object, or the kind of those listed.
+func (c relayed) entry() string { return c.Key }
+
 // outcome says how a relayed call ended.
 type outcome string
 
@@ -182,15 +202,16 @@
 		r.probe() //nolint:contextcheck // a try goes on after the call that found it due
 	}
 	if !r.Health.Down() {
+		made := time.Now()
 		reply, err := perform(ctx, r.Direct, call)
 		if _, unknown := errors.AsType[*object.UnknownError](err); unknown {
-			r.Health.lost(time.Now()) // the next try, if the caller makes one, goes through peers
+			r.Health.lost(time.Now(), made, call, err) // the next try, if the caller makes one, goes through peers
 			return reply, err
 		}
 		if !unreached(err) || ctx.Err() != nil {
 			return reply, err
 		}
-		r.Health.lost(time.Now())
+		r.Health.lost(time.Now(), made, call, err)
 		call.Wait = 0 // a lost watch is listed or watched again at once
 	}
 	return r.ask(ctx, call)
@@ -219,10 +240,15 @@
 		if ctx.Err() != nil {
 			break
 		}
+		asked := time.Now()
 		reply, err := r.askHost(ctx, host, call)
 		if err == nil {
 			err = reply.failure(call)
 		}
+		if unreached(err) && ctx.Err() == nil && time.Since(asked) >= silentPeer {
+			r.Health.Log.Emit(event.PeerSilent, "target", host, "call", string(call.Op), "entry", call.entry(),
+				"ms", time.Since(asked).Milliseconds(), "err", err.Error())
+		}
 		if !unreached(err) {
 			return reply, err
 		}
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -200,6 +200,7 @@
 		Name: settings.Host, Zone: settings.Zone, Address: settings.Internal, Incarnation: n.Incarnation,
 	}, HTTP: rest.Connections{Dial: peerDial}.Client()}
 	n.Log = log.Tap(func(e event.Entry) { n.Meter.Count("events_total", "event", e.Number.String()) })
+	n.health.Log = n.Log
 	n.store = n.reach(object.WatchWait)
 	n.mirrors = map[string]*peer.Mirror{}
 	for prefix, wait := range map[string]time.Duration{
@@ -227,6 +228,7 @@
 	n.Meter.Gauge("news_age_seconds", func() float64 { return n.age().Seconds() })
 	n.Meter.Gauge("batches_open", func() float64 { return float64(n.Book.Open()) })
 	n.Meter.Gauge("ready", func() float64 { return truth(n.Ready()) })
+	n.Meter.Gauge("store_direct", func() float64 { return truth(!n.health.Down()) })
 	n.Meter.Gauge("duty_held", func() float64 {
 		_, held := n.holder.Held(Duty)
 		return truth(held)
@@ -378,7 +380,11 @@
 	mirror := n.mirrors[prefix]
 	source := &peer.Source{Direct: n.reach(watch.own), Brief: n.reach(watch.brief), Directory: n.Directory, Wait: followWait}
 	return object.Follower{
-		Reader: source, Prefix: prefix, Now: n.clock, Lost: mirror.Lost, Pace: watch.pace,
+		Reader: source, Prefix: prefix, Now: n.clock, Pace: watch.pace,
+		Lost: func(err error, took time.Duration) {
+			mirror.Lost()
+			n.Log.Emit(event.WatchFailed, "entry", prefix, "ms", took.Milliseconds(), "age", n.age().String(), "err", err.Error())
+		},
 		Handle: func(change object.Change) {
 			handle(change)
 			mirror.Learn(change, source.Level())
--- a/internal/platform/object/follow.go
+++ b/internal/platform/object/follow.go
@@ -35,14 +35,14 @@
 // Follower keeps up with the objects under a prefix. Now is a clock that counts
 // suspend. Handle is called by one goroutine, also for a watch that ended
 // without a change, since that shows that nothing has changed. Lost, when set,
-// is called for each failed call. Pace is the least time between two calls, so
+// is called for each failed call with the time that it took. Pace is the least time between two calls, so
 // that changes in quick succession come together.
 type Follower struct {
 	Reader Reader
 	Prefix string
 	Now    func() time.Duration
 	Handle func(Change)
-	Lost   func(error)
+	Lost   func(err error, took time.Duration)
 	Pace   time.Duration
 }
 
@@ -66,7 +66,7 @@
 			continue
 		}
 		if f.Lost != nil {
-			f.Lost(err)
+			f.Lost(err, f.Now()-sent)
 		}
 		sleep(ctx, retry/2+rand.N(retry))
 		retry = min(2*retry, lastFollowRetry)
--- a/internal/site/event/emit_test.go
+++ b/internal/site/event/emit_test.go
@@ -186,9 +186,9 @@
 	It("logs no key, prompt or answer text", func() {
 		allowed := []string{
 			"address", "age", "attempt", "batch", "boot", "by", "call", "chunk", "chunks", "counters", "crashed", "done",
-			"draining", "duty", "ended", "engine", "entry", "epoch", "err", "error", "events", "fails", "floor", "from",
-			"host", "hosts", "id", "incarnation", "internal", "item", "items", "key", "last", "listed", "listen", "model",
-			"ms", "orders", "outcome", "owner", "reason", "refusals", "request", "revision", "role", "route", "routes",
+			"draining", "duty", "ended", "ends", "engine", "entry", "epoch", "err", "error", "events", "fails", "floor", "from",
+			"host", "hosts", "id", "incarnation", "internal", "item", "items", "key", "last", "left", "listed", "listen", "model",
+			"most", "ms", "orders", "outcome", "owner", "reason", "refusals", "request", "revision", "role", "route", "routes",
 			"run", "runs", "sends", "server", "servers", "service", "source", "status", "step", "store", "target",
 			"version", "versions", "why", "window", "withdrawn", "workspace", "workspaces", "zone",
 		}
--- a/internal/site/event/fleet.go
+++ b/internal/site/event/fleet.go
@@ -18,6 +18,10 @@
 	ShardTaken
 	ShardLost
 	OrderFenced
+	StoreDetoured
+	StoreDirect
+	PeerSilent
+	WatchFailed
 )
 
 func fleetEvents() []Entry {
@@ -38,5 +42,9 @@
 		{ShardTaken, Info, "shard of claims taken over", "Its owner failed, and this host has a copy.", "Nothing."},
 		{ShardLost, Warning, "shard of claims lost", "No host that kept it answers; keys that it may have known get an unknown outcome.", "Tell callers that repeat such keys. Keys that hosts mint are served."},
 		{OrderFenced, Warning, "order refused for its epoch", "The receiver has seen a later holder of the duty, or orders of another duty.", "Check that one duty alone gives orders to the receiver when this repeats."},
+		{StoreDetoured, Warning, "store called through peers", "The store did not answer the named call of this host.", "Check the way from this host to the store when this repeats."},
+		{StoreDirect, Info, "store called directly again", "It answered a try of this host.", "Nothing."},
+		{PeerSilent, Warning, "peer made no call to the store", "It did not answer this host in time.", "Look at the named host when the store is well."},
+		{WatchFailed, Warning, "watch failed", "Neither the store nor the host that this one follows answered; it is tried again.", "Compare its time with that in which a change has to be in force."},
 	}
 }
