Try a store that was lost often enough to have its news in time

Callers saw requests refused by a configuration that was no longer in force, 3 s after an outage of the store had ended: a host counts as in touch then.

Cause: the time between two tries of a lost store doubled up to 4 s, and a try that was under way as it came back took 0.8 s more; a follower slept up to 1.2 s. All hosts lost the store at once and tried it in step, so that no peer could help either. The class is a pause that is longer than the time in which its outcome is needed.

The test "reach it soon after it is back" failed before.

Tries now come 1.5 s apart and take 0.5 s at most, so that the worst case is 2.0 s and the next call; failed watches are repeated within 0.6 s.

--- a/internal/fleet/peer/relay.go
+++ b/internal/fleet/peer/relay.go
@@ -26,15 +26,15 @@
 	// that does not reach the store says so within milliseconds.
 	silentPeer = 100 * time.Millisecond
 	// probeEvery is the least time between two tries of the store, which bills
-	// them, also when it refuses. Only a host that makes calls tries. The time
-	// doubles up to probeSeldom while the store stays away.
-	probeEvery  = time.Second
-	probeSeldom = 4 * time.Second
+	// them, also when it refuses. Only a host that makes calls tries. With a try
+	// that was under way as the store came back, it stays below the 3 s after which
+	// a host has to know the configuration again.
+	probeEvery = 1500 * time.Millisecond
 	// probePatience is how long a call waits for such a try before it goes to
 	// peers; a store that is well answers in milliseconds.
 	probePatience = 50 * time.Millisecond
-	// probeTimeout bounds such a try.
-	probeTimeout = 800 * time.Millisecond
+	// probeTimeout bounds such a try: twice the answer time of a slow store.
+	probeTimeout = 500 * time.Millisecond
 )
 
 // Relay is the store as a host reaches it: directly, or through a peer while
@@ -60,9 +60,8 @@
 	mu      sync.Mutex
 	down    bool
 	probing bool
-	since   time.Time     // of the first call without an answer
-	tried   time.Time     // the latest call without an answer
-	wait    time.Duration // until the next try
+	since   time.Time // of the first call without an answer
+	tried   time.Time // the latest call without an answer
 }
 
 // Down says whether the store is out of direct reach.
@@ -77,7 +76,7 @@
 	h.mu.Lock()
 	first := !h.down
 	if first {
-		h.wait, h.since = probeEvery, now
+		h.since = now
 	}
 	h.down, h.tried = true, now
 	h.mu.Unlock()
@@ -90,7 +89,7 @@
 func (h *Health) due(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.down || h.probing || now.Sub(h.tried) < h.wait {
+	if !h.down || h.probing || now.Sub(h.tried) < probeEvery {
 		return false
 	}
 	h.probing = true
@@ -102,7 +101,6 @@
 	h.mu.Lock()
 	back := h.down && reached
 	h.down, h.probing, h.tried = !reached, false, now
-	h.wait = min(2*h.wait, probeSeldom)
 	away := now.Sub(h.since)
 	h.mu.Unlock()
 	if back {
--- a/internal/platform/object/follow.go
+++ b/internal/platform/object/follow.go
@@ -12,7 +12,7 @@
 // well below the time in which a change has to be in force (2 s).
 const (
 	firstFollowRetry = 100 * time.Millisecond
-	lastFollowRetry  = 800 * time.Millisecond
+	lastFollowRetry  = 400 * time.Millisecond
 )
 
 // CompactedError says that the changes after a revision are no longer kept. The
