--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -202,7 +202,7 @@
 	if err != nil {
 		return answer, &UnreachableError{Host: host, Err: err}
 	}
-	caller := rest.Caller{Base: "http://" + to.Address, Source: d.Self.Name, HTTP: d.HTTP}
+	caller := rest.Caller{Base: "http://" + to.Address, Source: d.Self.Name, HTTP: d.HTTP, Renew: true}
 	raw, err := caller.Do(ctx, rest.Call{Method: http.MethodPost, Path: "/" + method, Body: body})
 	if err == nil {
 		err = cbor.Unmarshal(raw, &answer)
--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -30,11 +30,14 @@
 const HeaderSource = "X-Source"
 
 // Caller makes calls to one system. Base is its URL without a trailing slash.
-// A nil HTTP uses connections that all callers share.
+// A nil HTTP uses connections that all callers share. Renew drops the idle
+// connections of HTTP after a call on a used one ran out of time: whatever
+// silenced that one may have silenced them all.
 type Caller struct {
 	Base   string
 	Source string
 	HTTP   *http.Client
+	Renew  bool
 }
 
 // Call is one request. Host replaces the host name of the caller's base in the
@@ -88,6 +91,9 @@
 		if err == nil {
 			return answer, nil
 		}
+		if c.Renew && track.usedBefore() && errors.Is(err, context.DeadlineExceeded) {
+			client.CloseIdleConnections()
+		}
 		sent := track.sent()
 		again := !sent && track.closedIdle() && attempt < mostAttempts && ctx.Err() == nil
 		if !again {
--- a/internal/platform/rest/rest_test.go
+++ b/internal/platform/rest/rest_test.go
@@ -1,6 +1,7 @@
 package rest
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -8,6 +9,7 @@
 	"net/http/httptest"
 	"net/http/httptrace"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -164,3 +166,48 @@
 		Entry("too long", "999999999999", 0, MaxAfter),
 	)
 })
+
+// Pattern: whatever stands between two hosts forgets their open connections.
+var _ = Describe("a caller that renews", func() {
+	// Guards against calls that one after the other wait on idle connections that
+	// died together.
+	It("makes the next call over a new connection after one without an answer", func(ctx SpecContext) {
+		silent, over := make(chan struct{}), make(chan struct{})
+		var mu sync.Mutex
+		known := map[string]bool{}
+		server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			dead := known[r.RemoteAddr]
+			known[r.RemoteAddr] = true
+			mu.Unlock()
+			select {
+			case <-silent:
+				if dead {
+					<-over
+				}
+			default:
+				time.Sleep(20 * time.Millisecond) // so that each call opens a connection
+			}
+		}))
+		defer server.Close()
+		defer close(over)
+		caller := Caller{Base: server.URL, HTTP: NewClient(), Renew: true}
+		call := func(limit time.Duration) error {
+			ctx, cancel := context.WithTimeout(ctx, limit)
+			defer cancel()
+			_, err := caller.Do(ctx, Call{Method: http.MethodGet, Path: "/"})
+			return err
+		}
+		var group sync.WaitGroup
+		for range 4 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				Expect(call(time.Second)).To(Succeed())
+			})
+		}
+		group.Wait()
+		close(silent)
+		Expect(call(100 * time.Millisecond)).NotTo(Succeed())
+		Expect(call(time.Second)).To(Succeed())
+	})
+})
--- a/internal/platform/rest/written.go
+++ b/internal/platform/rest/written.go
@@ -63,6 +63,7 @@
 type tracker struct {
 	mu       sync.Mutex
 	obtained bool
+	reused   bool
 	conn     *countedConn // nil for connections of a foreign client
 	start    int
 }
@@ -74,7 +75,7 @@
 func (t *tracker) got(info httptrace.GotConnInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.obtained = true
+	t.obtained, t.reused = true, info.Reused
 	t.conn = countedOf(info.Conn)
 	if t.conn == nil {
 		return
@@ -109,6 +110,13 @@
 	return t.conn == nil || !t.conn.seal(t.start)
 }
 
+// usedBefore says whether the request went to a connection of an earlier one.
+func (t *tracker) usedBefore() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reused
+}
+
 // closedIdle says that the request failed on a connection that was already
 // closed, before anything was written.
 func (t *tracker) closedIdle() bool {
