Keep a host's news on the direct way to the store when one call gets no answer

Cause: after any call without an answer a host took the store for lost and made all its calls through two peers for a second and more, also when the caller of that call had left. A peer that stands still, or a connection to one that has died, held the watch of the configuration for 3 s each, and it stayed there when the direct way had long been found open. Watches on other connections that had died with the first went on waiting. The class is a belief from one failed call that moves unrelated work to a way that nobody has checked.

After a call without an answer the store is now tried over a new connection at once; if it answers, the call is made again and watches under way are renewed. A read through a peer ends when the direct way is back, a follower's pause too, and a call that its own caller gave up says nothing. A store that answers tries and refuses calls is still reached through peers.

--- a/internal/fleet/peer/relay.go
+++ b/internal/fleet/peer/relay.go
@@ -19,7 +19,7 @@
 	// relayTimeout bounds a relayed call: the peer's own call and the way there.
 	relayTimeout = 1500 * time.Millisecond
 	// relayMargin is the time beyond its wait that a relayed watch may take.
-	relayMargin = 1500 * time.Millisecond
+	relayMargin = 500 * time.Millisecond
 	// relayTries is the number of peers that are asked for one call.
 	relayTries = 2
 	// silentPeer is the time after which a peer that was no help is logged; one
@@ -33,6 +33,9 @@
 	// probePatience is how long a call waits for such a try before it goes to
 	// peers; a store that is well answers in milliseconds.
 	probePatience = 50 * time.Millisecond
+	// lossPatience is how long a call that got no answer waits for the first try;
+	// a slow store answers in a quarter of a second.
+	lossPatience = 300 * time.Millisecond
 	// probeTimeout bounds such a try: twice the answer time of a slow store.
 	probeTimeout = 500 * time.Millisecond
 )
@@ -57,11 +60,13 @@
 type Health struct {
 	Log event.Log
 
-	mu      sync.Mutex
-	down    bool
-	probing bool
-	since   time.Time // of the first call without an answer
-	tried   time.Time // the latest call without an answer
+	mu    sync.Mutex
+	down  bool
+	since time.Time     // of the first call without an answer
+	tried time.Time     // the latest call without an answer
+	try   chan struct{} // closed at the end of the try under way, nil without one
+	back  chan struct{} // closed when the store answers a try after a loss
+	doubt chan struct{} // closed when a try after a loss fails
 }
 
 // Down says whether the store is out of direct reach.
@@ -71,6 +76,36 @@
 	return h.down
 }
 
+// Back returns a channel that is closed when the store is in direct reach again
+// after a loss.
+func (h *Health) Back() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return channel(&h.back)
+}
+
+// turns returns channels that are closed when the store answers a try after a
+// loss, and when it does not.
+func (h *Health) turns() (back, doubt <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return channel(&h.back), channel(&h.doubt)
+}
+
+func channel(c *chan struct{}) <-chan struct{} {
+	if *c == nil {
+		*c = make(chan struct{})
+	}
+	return *c
+}
+
+func signal(c *chan struct{}) {
+	if *c != nil {
+		close(*c)
+		*c = nil
+	}
+}
+
 // lost notes a direct call that was made at an instant and failed.
 func (h *Health) lost(now, made time.Time, call relayed, err error) {
 	h.mu.Lock()
@@ -85,25 +120,36 @@
 	}
 }
 
-// due says whether the store is to be tried again now, and reserves the try.
+// due says whether the store is to be tried again now.
 func (h *Health) due(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.down || h.probing || now.Sub(h.tried) < probeEvery {
-		return false
-	}
-	h.probing = true
-	return true
+	return h.down && h.try == nil && now.Sub(h.tried) >= probeEvery
+}
+
+// begin returns a channel that is closed at the end of the try under way, and
+// whether the caller has to make it.
+func (h *Health) begin() (ended <-chan struct{}, own bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	own = h.try == nil
+	return channel(&h.try), own
 }
 
 // settle takes in how a try ended.
 func (h *Health) settle(now time.Time, reached bool) {
 	h.mu.Lock()
-	back := h.down && reached
-	h.down, h.probing, h.tried = !reached, false, now
-	away := now.Sub(h.since)
+	turned, away := h.down && reached, now.Sub(h.since)
+	if h.down && !reached {
+		signal(&h.doubt)
+	}
+	h.down, h.tried = !reached, now
+	if turned {
+		signal(&h.back)
+	}
+	signal(&h.try)
 	h.mu.Unlock()
-	if back {
+	if turned {
 		h.Log.Emit(event.StoreDirect, "ms", away.Milliseconds())
 	}
 }
@@ -197,38 +243,109 @@
 // do makes a call directly, or through peers while the store is out of reach.
 func (r *Relay) do(ctx context.Context, call relayed) (relayReply, error) {
 	if r.Health.due(time.Now()) {
-		r.probe() //nolint:contextcheck // a try goes on after the call that found it due
+		r.probe(probePatience) //nolint:contextcheck // a try goes on after the call that found it due
 	}
-	if !r.Health.Down() {
-		made := time.Now()
-		reply, err := perform(ctx, r.Direct, call)
-		if _, unknown := errors.AsType[*object.UnknownError](err); unknown {
-			r.Health.lost(time.Now(), made, call, err) // the next try, if the caller makes one, goes through peers
-			return reply, err
+	again := call
+	again.Wait = 0 // a lost watch is listed or watched again at once
+	for first := true; ; {
+		back := r.Health.Back()
+		if r.Health.Down() {
+			reply, err := r.askUntil(ctx, back, call)
+			if !errors.Is(err, errBack) {
+				return reply, err
+			}
 		}
-		if !unreached(err) || ctx.Err() != nil {
+		reply, err := r.direct(ctx, call)
+		switch {
+		case errors.Is(err, errTurned):
+		case !unreached(err) || ctx.Err() != nil:
 			return reply, err
+		case !first: // the store answers tries and refuses this call
+			return r.ask(ctx, call)
+		default:
+			first, call = false, again
 		}
-		r.Health.lost(time.Now(), made, call, err)
-		call.Wait = 0 // a lost watch is listed or watched again at once
 	}
-	return r.ask(ctx, call)
 }
 
-// probe tries the store directly once, and waits a moment for its answer.
-func (r *Relay) probe() {
-	done := make(chan struct{})
+var (
+	// errTurned ends a watch whose connection is not to be trusted any more.
+	errTurned = errors.New("the way to the store has changed")
+	// errBack ends a read through a peer that is not needed any more.
+	errBack = errors.New("the store is in direct reach again")
+)
+
+// direct makes a call to the store. After one without an answer the store is
+// tried over a new connection, which tells a store that is gone from a
+// connection that has died. A watch under way when another call gets no answer
+// is given up: its connection may have died as well.
+func (r *Relay) direct(ctx context.Context, call relayed) (relayReply, error) {
+	made := time.Now()
+	calling, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if call.Op == opWatch {
+		back, doubt := r.Health.turns()
+		go func() {
+			select {
+			case <-back:
+				cancel(errTurned)
+			case <-doubt:
+				cancel(errTurned)
+			case <-calling.Done():
+			}
+		}()
+	}
+	reply, err := perform(calling, r.Direct, call)
+	if err != nil && context.Cause(calling) == errTurned { //nolint:errorlint // set above, never wrapped
+		return reply, errTurned
+	}
+	_, unsure := errors.AsType[*object.UnknownError](err)
+	if !unsure && !unreached(err) || errors.Is(ctx.Err(), context.Canceled) {
+		return reply, err // a caller that gave up says nothing of the store
+	}
+	r.Health.lost(time.Now(), made, call, err)
+	r.probe(lossPatience) //nolint:contextcheck // a try goes on after the call that found it due
+	return reply, err
+}
+
+// probe tries the store directly once, unless a try is under way, and waits a
+// moment for the answer.
+func (r *Relay) probe(patience time.Duration) {
+	ended, own := r.Health.begin()
+	if own {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+			defer cancel()
+			_, err := r.Direct.Get(ctx, Prefix+r.Directory.Self.Name)
+			r.Health.settle(time.Now(), !unreached(err))
+		}()
+	}
+	select {
+	case <-ended:
+	case <-time.After(patience):
+	}
+}
+
+// askUntil is ask for as long as the store is out of direct reach: a peer may
+// stand still. A write goes on, since it may have taken effect.
+func (r *Relay) askUntil(ctx context.Context, back <-chan struct{}, call relayed) (relayReply, error) {
+	if call.Op == opPut || call.Op == opDelete {
+		return r.ask(ctx, call)
+	}
+	asking, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	go func() {
-		defer close(done)
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		defer cancel()
-		_, err := r.Direct.Get(ctx, Prefix+r.Directory.Self.Name)
-		r.Health.settle(time.Now(), !unreached(err))
+		select {
+		case <-back:
+			cancel(errBack)
+		case <-asking.Done():
+		}
 	}()
-	select {
-	case <-done:
-	case <-time.After(probePatience):
+	reply, err := r.ask(asking, call)
+	if err != nil && context.Cause(asking) == errBack { //nolint:errorlint // set above, never wrapped
+		return reply, errBack
 	}
+	return reply, err
 }
 
 // ask lets peers make the call, until one of them reaches the store.
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -371,7 +371,7 @@
 
 // follower returns a follower whose calls are counted by what it follows.
 func (n *Node) follower(wait time.Duration, prefix string, handle func(object.Change)) object.Follower {
-	return object.Follower{Reader: n.reach(wait), Prefix: prefix, Now: n.clock, Handle: handle}
+	return object.Follower{Reader: n.reach(wait), Prefix: prefix, Now: n.clock, Handle: handle, Retry: n.health.Back}
 }
 
 // mirrored returns a follower of what all hosts follow: from a watcher of the
@@ -380,7 +380,7 @@
 	mirror := n.mirrors[prefix]
 	source := &peer.Source{Direct: n.reach(watch.own), Brief: n.reach(watch.brief), Directory: n.Directory, Wait: followWait}
 	return object.Follower{
-		Reader: source, Prefix: prefix, Now: n.clock, Pace: watch.pace,
+		Reader: source, Prefix: prefix, Now: n.clock, Pace: watch.pace, Retry: n.health.Back,
 		Lost: func(err error, took time.Duration) {
 			mirror.Lost()
 			n.Log.Emit(event.WatchFailed, "entry", prefix, "ms", took.Milliseconds(), "age", n.age().String(), "err", err.Error())
--- a/internal/platform/object/follow.go
+++ b/internal/platform/object/follow.go
@@ -36,7 +36,8 @@
 // suspend. Handle is called by one goroutine, also for a watch that ended
 // without a change, since that shows that nothing has changed. Lost, when set,
 // is called for each failed call with the time that it took. Pace is the least time between two calls, so
-// that changes in quick succession come together.
+// that changes in quick succession come together. Retry, when set, returns a
+// channel whose close ends the pause after a failed call.
 type Follower struct {
 	Reader Reader
 	Prefix string
@@ -44,6 +45,7 @@
 	Handle func(Change)
 	Lost   func(err error, took time.Duration)
 	Pace   time.Duration
+	Retry  func() <-chan struct{}
 }
 
 // Run lists once and then watches, until the context ends.
@@ -51,13 +53,17 @@
 	var after uint64
 	listed, retry := false, firstFollowRetry
 	for ctx.Err() == nil {
+		var wake <-chan struct{}
+		if f.Retry != nil {
+			wake = f.Retry() // before the call, so that no close is missed
+		}
 		sent := f.Now()
 		change, err := f.next(ctx, listed, after)
 		if err == nil {
 			listed, after, retry = true, change.Revision, firstFollowRetry
 			f.Handle(change)
 			if rest := f.Pace - (f.Now() - sent); rest > 0 {
-				sleep(ctx, rest)
+				sleep(ctx, rest, nil)
 			}
 			continue
 		}
@@ -68,7 +74,7 @@
 		if f.Lost != nil {
 			f.Lost(err, f.Now()-sent)
 		}
-		sleep(ctx, retry/2+rand.N(retry))
+		sleep(ctx, retry/2+rand.N(retry), wake)
 		retry = min(2*retry, lastFollowRetry)
 	}
 }
@@ -83,9 +89,10 @@
 	return Change{Batch: batch, Known: sent + batch.Held - batch.Age}, err
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	select {
 	case <-ctx.Done():
+	case <-wake:
 	case <-time.After(d):
 	}
 }
