Refuse a request that crashes servers after the third crash, at every host

Cause: the hosts on the platform kept no account of such requests. The ledger of package poison runs a suspect alone on a server, for which these hosts have no room. The class is a bound kept for one attempt, not for what repeats it.

Sends that servers break off are counted by request and start of a server; hosts tell each other, and one that starts asks. A break counts as a crash once the server has started anew or is gone, so that lost answers convict nobody; a whole answer clears the request at all hosts. After three breaks a request waits for the last verdict, after three crashes it is refused for 15 minutes.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -119,6 +119,14 @@
 	return all
 }
 
+// Runs says whether a start of a server is listed.
+func (p *Pool) Runs(name string, boot int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.servers[name]
+	return e != nil && e.Boot == boot
+}
+
 // Changed returns a channel that is closed at the next change that may make a
 // server eligible.
 func (p *Pool) Changed() <-chan struct{} {
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
 	"github.com/hyssopwall/hyssopwall/internal/entry/forward"
+	"github.com/hyssopwall/hyssopwall/internal/entry/poison"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
 	"github.com/hyssopwall/hyssopwall/internal/site/policy"
 	"github.com/hyssopwall/hyssopwall/internal/standin/cases"
@@ -143,6 +144,24 @@
 		Expect(got.Status).To(Equal(http.StatusOK))
 	})
 
+	// Guards against a request that crashes servers and is sent on each time it
+	// comes again.
+	It("is refused once it has crashed three servers", func(ctx SpecContext) {
+		sender := &servers{answers: []answer{"breaks", "breaks", "breaks", "breaks", "breaks", "breaks"}}
+		f := &forward.Forwarder{Pool: pooled(3), Sender: sender, Ran: func(string) {}, Suspects: &suspects{}, Log: quiet}
+		route := policy.Route{Name: "r", Kind: policy.Safe, Attempts: 3, Targets: []policy.Target{{Service: "s", Weight: 1}}, Target: time.Second, Timeout: time.Minute}
+		_, err := f.Do(ctx, route, forward.Request{ID: "x", Target: "/a", Body: []byte("b")})
+		Expect(errors.As(err, new(*forward.FailedError))).To(BeTrue())
+		var refused *forward.RefusedError
+		_, err = f.Do(ctx, route, forward.Request{ID: "y", Target: "/a", Body: []byte("b")})
+		Expect(errors.As(err, &refused)).To(BeTrue())
+		Expect(refused.After).To(Equal(poison.ConvictFor))
+		sends, _ := sender.count()
+		Expect(sends).To(Equal(3))
+		_, err = f.Do(ctx, route, forward.Request{ID: "z", Target: "/other", Body: []byte("b")})
+		Expect(errors.As(err, &refused)).To(BeFalse(), "another request is sent")
+	})
+
 	It("ends with its caller", func(ctx SpecContext) {
 		left, leave := context.WithCancel(ctx)
 		sender := &servers{answers: []answer{"hangs"}}
@@ -154,6 +173,22 @@
 	})
 })
 
+// suspects takes each break for a crash.
+type suspects struct {
+	breaks poison.Breaks
+}
+
+func (s *suspects) Admit(fp poison.Fingerprint) *poison.ConvictedError {
+	s.breaks.Runs = func(poison.Server) bool { return false }
+	return s.breaks.Admit(time.Now(), fp)
+}
+
+func (s *suspects) Broke(fp poison.Fingerprint, server poison.Server) {
+	s.breaks.Note(time.Now(), fp, server)
+}
+
+func (s *suspects) Answered(fp poison.Fingerprint) { s.breaks.Clear(fp) }
+
 func (w want) check(got forward.Answer, err error) {
 	GinkgoHelper()
 	refused, isRefused := errors.AsType[*forward.RefusedError](err)
--- a/internal/entry/forward/run.go
+++ b/internal/entry/forward/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
 	"github.com/hyssopwall/hyssopwall/internal/entry/attempt"
+	"github.com/hyssopwall/hyssopwall/internal/entry/poison"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
 	"github.com/hyssopwall/hyssopwall/internal/site/meter"
 	"github.com/hyssopwall/hyssopwall/internal/site/policy"
@@ -43,15 +44,26 @@
 // server beyond its slots; more would pass the objective while they wait.
 const queueAllowance = 6
 
+// Suspects knows the requests that crash servers.
+type Suspects interface {
+	// Admit returns nil when a request may be sent now.
+	Admit(fp poison.Fingerprint) *poison.ConvictedError
+	// Broke takes in a send that its server broke off.
+	Broke(fp poison.Fingerprint, server poison.Server)
+	// Answered takes in a whole answer.
+	Answered(fp poison.Fingerprint)
+}
+
 // Forwarder forwards plain requests. Pool, Sender and Ran must be set; Ran is
 // called for each request that a server began to run. It is safe for
 // concurrent use.
 type Forwarder struct {
-	Pool   *pool.Pool
-	Sender Sender
-	Ran    func(workspace string)
-	Log    event.Log
-	Meter  *meter.Meter // may be nil
+	Pool     *pool.Pool
+	Sender   Sender
+	Ran      func(workspace string)
+	Suspects Suspects // may be nil
+	Log      event.Log
+	Meter    *meter.Meter // may be nil
 
 	mu      sync.Mutex
 	budgets map[string]*attempt.Budget
@@ -75,6 +87,7 @@
 	r := &run{
 		Forwarder: f, route: route, request: request, budget: budget, delay: delay,
 		service: route.Choose(rand.Float64()),
+		print:   poison.Print(request.Workspace, request.Host+request.Target, request.Body),
 		started: time.Now(), end: time.Now().Add(left),
 		results: make(chan result, max(route.Attempts, attempt.DefaultTries)+refusals),
 		state: attempt.State{
@@ -114,6 +127,7 @@
 	route   policy.Route
 	request Request
 	service string
+	print   poison.Fingerprint
 	budget  *attempt.Budget
 	delay   *attempt.Delay
 	started time.Time
@@ -208,6 +222,11 @@
 	timer := time.NewTimer(max(0, patience-time.Since(r.started)))
 	defer timer.Stop()
 	for {
+		if convicted := r.convicted(); convicted != nil {
+			r.Log.Emit(event.PoisonConvicted, "request", r.request.ID, "route", r.route.Name,
+				"workspace", r.request.Workspace, "sends", r.legs, "ms", convicted.After.Milliseconds())
+			return &RefusedError{Reason: convicted.Error(), After: convicted.After}
+		}
 		changed := r.Pool.Changed()
 		if choice, ok := r.Pool.Pick(time.Now(), r.need()); ok {
 			r.start(ctx, choice)
@@ -230,8 +249,34 @@
 	}
 }
 
+// convicted returns nil unless the request may not be sent for crashing servers.
+func (r *run) convicted() *poison.ConvictedError {
+	if r.Suspects == nil {
+		return nil
+	}
+	return r.Suspects.Admit(r.print)
+}
+
+// observe tells Suspects how a send ended that was not refused.
+func (r *run) observe(got result) {
+	broken, _ := errors.AsType[*BrokenError](got.err)
+	switch {
+	case r.Suspects == nil:
+	case got.err == nil:
+		r.Suspects.Answered(r.print)
+	case broken != nil && broken.Err != nil && !errors.Is(got.err, context.Canceled) && !errors.Is(got.err, context.DeadlineExceeded):
+		server := got.choice.Server
+		r.Suspects.Broke(r.print, poison.Server{Name: server.Name, Boot: server.Boot})
+		r.Log.Emit(event.SendBroken, "request", r.request.ID, "route", r.route.Name, "server", server.Name,
+			"boot", server.Boot, "sends", r.legs, "err", got.err.Error())
+	}
+}
+
 // hedge starts a second leg if another server has room now.
 func (r *run) hedge(ctx context.Context) {
+	if r.convicted() != nil {
+		return
+	}
 	if choice, ok := r.Pool.Pick(time.Now(), r.need()); ok {
 		r.start(ctx, choice)
 	}
@@ -264,6 +309,7 @@
 		got.choice.Reported(now, *load)
 	}
 	notRun, refused := errors.AsType[*NotRunError](got.err)
+	r.observe(got)
 	switch {
 	case refused:
 		*decision = r.refusal(got, notRun)
--- /dev/null
+++ b/internal/entry/poison/breaks_test.go
@@ -0,0 +1,95 @@
+package poison_test
+
+import (
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/entry/poison"
+	"github.com/hyssopwall/hyssopwall/internal/fleet/wire"
+	"github.com/hyssopwall/hyssopwall/internal/standin/cases"
+)
+
+type breakCase struct {
+	Name  string
+	Steps []breakStep
+}
+
+type breakStep struct {
+	At    int
+	Host  string
+	Break string
+	Clear bool
+	Gone  []string
+	To    []string
+	Admit *int
+	Note  string
+}
+
+// breakPlay holds the breaks that each host knows.
+type breakPlay struct {
+	hosts map[string]*poison.Breaks
+	gone  []string
+}
+
+func (p *breakPlay) host(name string) *poison.Breaks {
+	if p.hosts[name] == nil {
+		p.hosts[name] = &poison.Breaks{Runs: func(s poison.Server) bool { return !slices.Contains(p.gone, s.Name) }}
+	}
+	return p.hosts[name]
+}
+
+// tell carries a report to a host and its answer back.
+func (p *breakPlay) tell(now time.Time, from, to string, report poison.Report) {
+	raw, err := wire.Encode(report)
+	Expect(err).NotTo(HaveOccurred())
+	heard, err := wire.Decode[poison.Report](raw)
+	Expect(err).NotTo(HaveOccurred())
+	if reply := p.host(to).Merge(now, heard); len(reply.Breaks) > 0 {
+		p.host(from).Merge(now, reply)
+	}
+}
+
+func (p *breakPlay) step(s breakStep) {
+	now := time.Unix(int64(1000+s.At), 0)
+	own := p.host(s.Host)
+	p.gone = append(p.gone, s.Gone...)
+	fp := fingerprint("body")
+	switch {
+	case s.Break != "":
+		report := own.Note(now, fp, poison.Server{Name: s.Break})
+		for _, to := range s.To {
+			p.tell(now, s.Host, to, report)
+		}
+	case s.Clear:
+		Expect(own.Clear(fp)).To(BeTrue())
+		for _, to := range s.To {
+			p.tell(now, s.Host, to, poison.Report{Print: fp})
+		}
+	}
+	if s.Admit == nil {
+		return
+	}
+	wait := time.Duration(0)
+	if refused := own.Admit(now, fp); refused != nil {
+		wait = refused.After
+	}
+	Expect(wait).To(Equal(time.Duration(*s.Admit)*time.Second), "at %d: %s", s.At, s.Note)
+}
+
+var _ = Describe("breaks", func() {
+	all, err := cases.Load[[]breakCase]("testdata/breaks/*.hujson")
+	It("has cases", func() { Expect(err).NotTo(HaveOccurred()) })
+	for _, file := range all {
+		for _, c := range file.Data {
+			It(c.Name, func() {
+				play := &breakPlay{hosts: map[string]*poison.Breaks{}}
+				for _, s := range c.Steps {
+					play.step(s)
+				}
+			})
+		}
+	}
+})
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/hyssopwall/hyssopwall/internal/billing/tally"
 	"github.com/hyssopwall/hyssopwall/internal/entry/forward"
 	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
+	"github.com/hyssopwall/hyssopwall/internal/entry/poison"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/lease"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/peer"
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
@@ -165,6 +166,7 @@
 	Meter     *meter.Meter
 
 	store    object.Store
+	breaks   poison.Breaks // sends that servers broke off
 	health   peer.Health
 	outage   object.Outage
 	mirrors  map[string]*peer.Mirror // by prefix
@@ -209,8 +211,9 @@
 	} {
 		n.mirrors[prefix] = &peer.Mirror{Now: n.clock, Silence: wait + silenceMargin}
 	}
+	n.breaks.Runs = func(s poison.Server) bool { return n.Pool.Runs(s.Name, s.Boot) }
 	n.Forwarder = &forward.Forwarder{
-		Pool: n.Pool, Sender: outside.Sender, Log: n.Log, Meter: n.Meter,
+		Pool: n.Pool, Sender: outside.Sender, Suspects: suspects{n}, Log: n.Log, Meter: n.Meter,
 		Ran: func(workspace string) { n.Tally.Count(time.Now(), workspace) },
 	}
 	n.Book = &batch.Book{
@@ -338,6 +341,7 @@
 		func() { n.followHeld(ctx, keys.Releases, n.learnReleases) },
 		func() { n.followHeld(ctx, keys.Retirements, n.learnRetirements(ctx)) },
 		func() { n.watchNews(ctx) },
+		func() { n.learnSuspects(ctx) },
 	}
 }
 
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -9,6 +9,7 @@
 	"github.com/hyssopwall/hyssopwall/internal/billing/tally"
 	"github.com/hyssopwall/hyssopwall/internal/entry/forward"
 	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
+	"github.com/hyssopwall/hyssopwall/internal/entry/poison"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/peer"
 	"github.com/hyssopwall/hyssopwall/internal/rollout/batch"
 	"github.com/hyssopwall/hyssopwall/internal/site/policy"
@@ -91,6 +92,8 @@
 		n.Book.Ended(r.ID)
 		return empty{}
 	})
+	peer.Handle(mux, "breaks", n.takeReport)
+	peer.Handle(mux, "suspects", func(context.Context, empty) poison.Reports { return n.breaks.Reports(time.Now()) })
 	peer.ServeMirrors(mux, n.mirrors)
 	peer.ServeRelay(mux, n.direct, &n.health)
 	return mux
