Send nothing once a request's time is over

Cause: what is left of a request's time was handed on if it was positive and left out otherwise, which means no bound. A host that stood still finds the timer of a hedge and that of the deadline due at once and may take the hedge first.

The entries of "sends nothing once its time is over, though the host stood still" failed before.

The clock is asked before each send, and the least time handed on is 1 ms. The same cause elsewhere: items and orders have no limit by design, calls of scorers a constant one.

--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -162,6 +162,25 @@
 		Expect(errors.As(err, &refused)).To(BeFalse(), "another request is sent")
 	})
 
+	// Guards against sends without a time limit by a host that stood still: the time
+	// of the request was over, and what is left of it is handed on only while it is
+	// positive.
+	DescribeTable("sends nothing once its time is over, though the host stood still", func(ctx SpecContext, first answer, stallAt, sends int) {
+		sender := &servers{answers: []answer{first}}
+		stalled := &stalling{at: stallAt, length: 300 * time.Millisecond}
+		f := &forward.Forwarder{Pool: pooled(3), Sender: sender, Ran: func(string) {}, Suspects: stalled, Log: quiet}
+		route := policy.Route{Name: "r", Kind: policy.Safe, Attempts: 3, Targets: []policy.Target{{Service: "s", Weight: 1}}, Target: time.Second}
+		_, err := f.Do(ctx, route, forward.Request{ID: "x", Left: 200 * time.Millisecond})
+		Expect(err).To(HaveOccurred())
+		Consistently(func() int {
+			got, _ := sender.count()
+			return got
+		}, 100*time.Millisecond).Should(Equal(sends))
+	},
+		Entry("before its first send", answer("ok"), 1, 0),
+		Entry("before it is sent again", answer("breaks"), 2, 1),
+	)
+
 	It("ends with its caller", func(ctx SpecContext) {
 		left, leave := context.WithCancel(ctx)
 		sender := &servers{answers: []answer{"hangs"}}
@@ -173,6 +192,21 @@
 	})
 })
 
+// stalling stands still at a call of Admit.
+type stalling struct {
+	suspects
+	at, calls int
+	length    time.Duration
+}
+
+func (s *stalling) Admit(poison.Fingerprint) *poison.ConvictedError {
+	s.calls++
+	if s.calls == s.at {
+		time.Sleep(s.length)
+	}
+	return nil
+}
+
 // suspects takes each break for a crash.
 type suspects struct {
 	breaks poison.Breaks
--- a/internal/entry/forward/run.go
+++ b/internal/entry/forward/run.go
@@ -40,6 +40,9 @@
 	comeBackEmpty = time.Second
 )
 
+// leastLeft is handed on when less is left: no time at all would mean no bound.
+const leastLeft = time.Millisecond
+
 // queueAllowance is the number of requests that may wait at a plain service's
 // server beyond its slots; more would pass the objective while they wait.
 const queueAllowance = 6
@@ -227,6 +230,9 @@
 				"workspace", r.request.Workspace, "sends", r.legs, "ms", convicted.After.Milliseconds())
 			return &RefusedError{Reason: convicted.Error(), After: convicted.After}
 		}
+		if r.over() {
+			return context.DeadlineExceeded
+		}
 		changed := r.Pool.Changed()
 		if choice, ok := r.Pool.Pick(time.Now(), r.need()); ok {
 			r.start(ctx, choice)
@@ -257,6 +263,10 @@
 	return r.Suspects.Admit(r.print)
 }
 
+// over says whether the time for a further send has passed. Timers don't tell: a
+// process that stood still finds several of them due at once.
+func (r *run) over() bool { return time.Until(r.end) < answerMargin }
+
 // observe tells Suspects how a send ended that was not refused.
 func (r *run) observe(got result) {
 	broken, _ := errors.AsType[*BrokenError](got.err)
@@ -274,7 +284,7 @@
 
 // hedge starts a second leg if another server has room now.
 func (r *run) hedge(ctx context.Context) {
-	if r.convicted() != nil {
+	if r.convicted() != nil || r.over() {
 		return
 	}
 	if choice, ok := r.Pool.Pick(time.Now(), r.need()); ok {
@@ -290,7 +300,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r.cancels[leg] = cancel
 	request := r.request
-	request.Left = time.Until(r.end)
+	request.Left = max(time.Until(r.end), leastLeft)
 	begun := time.Now()
 	go func() {
 		answer, err := r.Sender.Send(ctx, choice.Server, request)
