Drop idle connections for calls and for watches together

Callers saw a configuration in force 2.1 s to 2.7 s after its acknowledgement, at hosts whose connections had fallen silent.

Cause: the client of the store has a pool for calls and one for watches, and a call that ran out of time dropped the idle connections of its own pool only. The watch that was renewed, or the try of the store, went out on a dead connection of the other.

--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -202,7 +202,7 @@
 	if err != nil {
 		return answer, &UnreachableError{Host: host, Err: err}
 	}
-	caller := rest.Caller{Base: "http://" + to.Address, Source: d.Self.Name, HTTP: d.HTTP, Renew: true}
+	caller := rest.Caller{Base: "http://" + to.Address, Source: d.Self.Name, HTTP: d.HTTP, Renew: d.renew}
 	raw, err := caller.Do(ctx, rest.Call{Method: http.MethodPost, Path: "/" + method, Body: body})
 	if err == nil {
 		err = cbor.Unmarshal(raw, &answer)
@@ -213,6 +213,13 @@
 	return answer, nil
 }
 
+// renew drops the idle connections to other hosts.
+func (d *Directory) renew() {
+	if d.HTTP != nil {
+		d.HTTP.CloseIdleConnections()
+	}
+}
+
 // MaxMessage bounds the body of a call in bytes: a value of the store and its
 // framing.
 const MaxMessage = object.MaxValue + 1<<16
--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -30,14 +30,14 @@
 const HeaderSource = "X-Source"
 
 // Caller makes calls to one system. Base is its URL without a trailing slash.
-// A nil HTTP uses connections that all callers share. Renew drops the idle
-// connections of HTTP after a call on a used one ran out of time: whatever
-// silenced that one may have silenced them all.
+// A nil HTTP uses connections that all callers share. Renew, when set, is called
+// after a call on a used connection ran out of time, and drops the idle ones:
+// whatever silenced that one may have silenced them all.
 type Caller struct {
 	Base   string
 	Source string
 	HTTP   *http.Client
-	Renew  bool
+	Renew  func()
 }
 
 // Call is one request. Host replaces the host name of the caller's base in the
@@ -91,8 +91,8 @@
 		if err == nil {
 			return answer, nil
 		}
-		if c.Renew && track.usedBefore() && errors.Is(err, context.DeadlineExceeded) {
-			client.CloseIdleConnections()
+		if c.Renew != nil && track.usedBefore() && errors.Is(err, context.DeadlineExceeded) {
+			c.Renew()
 		}
 		sent := track.sent()
 		again := !sent && track.closedIdle() && attempt < mostAttempts && ctx.Err() == nil
--- a/internal/platform/rest/rest_test.go
+++ b/internal/platform/rest/rest_test.go
@@ -191,7 +191,8 @@
 		}))
 		defer server.Close()
 		defer close(over)
-		caller := Caller{Base: server.URL, HTTP: NewClient(), Renew: true}
+		client := NewClient()
+		caller := Caller{Base: server.URL, HTTP: client, Renew: client.CloseIdleConnections}
 		call := func(limit time.Duration) error {
 			ctx, cancel := context.WithTimeout(ctx, limit)
 			defer cancel()
