--- a/internal/fleet/peer/detour_test.go
+++ b/internal/fleet/peer/detour_test.go
@@ -123,6 +123,30 @@
 		Expect(watched(ctx)).To(BeNumerically("<", back+soon))
 	})
 
+	// Guards against a host that tries the store, and logs that, at each call while
+	// its connections are reset again and again.
+	It("tries a store that fails by turns seldom", func(ctx SpecContext) {
+		tries, calls := 0, 0
+		store.Inject(func(op, _ string) objects.Fault {
+			if op == "get" {
+				tries++
+				return objects.None
+			}
+			calls++
+			return objects.Lost
+		})
+		limited, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		for limited.Err() == nil {
+			asking, cancel := context.WithTimeout(limited, 10*time.Millisecond)
+			_, err := relay.Put(asking, "k/b", nil, 0)
+			Expect(err).To(HaveOccurred())
+			cancel()
+		}
+		Expect(calls).To(BeNumerically("<=", 2))
+		Expect(tries).To(Equal(1))
+	})
+
 	// Guards against a watch that waits on a connection that has died, though
 	// another call of the host has found that out.
 	It("is made again when it waits on a dead connection", func(ctx SpecContext) {
--- a/internal/fleet/peer/relay.go
+++ b/internal/fleet/peer/relay.go
@@ -64,6 +64,7 @@
 	down  bool
 	since time.Time     // of the first call without an answer
 	tried time.Time     // the latest call without an answer
+	found time.Time     // when the store was in reach again
 	try   chan struct{} // closed at the end of the try under way, nil without one
 	back  chan struct{} // closed when the store answers a try after a loss
 	doubt chan struct{} // closed when a try after a loss fails
@@ -106,10 +107,17 @@
 	}
 }
 
-// lost notes a direct call that was made at an instant and failed.
-func (h *Health) lost(now, made time.Time, call relayed, err error) {
+// lost notes a direct call that was made at an instant and failed. It returns
+// whether the store is to be tried at once. A call made before the store was
+// found again says nothing new, and one that fails soon after goes on through
+// peers, so that a way which fails by turns costs few tries and few lines.
+func (h *Health) lost(now, made time.Time, call relayed, err error) (try bool) {
 	h.mu.Lock()
-	first := !h.down
+	if made.Before(h.found) {
+		h.mu.Unlock()
+		return false
+	}
+	first, again := !h.down, now.Sub(h.found) < probeEvery
 	if first {
 		h.since = now
 	}
@@ -118,6 +126,7 @@
 	if first {
 		h.Log.Emit(event.StoreDetoured, "call", string(call.Op), "entry", call.entry(), "ms", now.Sub(made).Milliseconds(), "err", err.Error())
 	}
+	return !again
 }
 
 // due says whether the store is to be tried again now.
@@ -145,6 +154,7 @@
 	}
 	h.down, h.tried = !reached, now
 	if turned {
+		h.found = now
 		signal(&h.back)
 	}
 	signal(&h.try)
@@ -303,8 +313,9 @@
 	if !unsure && !unreached(err) || errors.Is(ctx.Err(), context.Canceled) {
 		return reply, err // a caller that gave up says nothing of the store
 	}
-	r.Health.lost(time.Now(), made, call, err)
-	r.probe(lossPatience) //nolint:contextcheck // a try goes on after the call that found it due
+	if r.Health.lost(time.Now(), made, call, err) {
+		r.probe(lossPatience) //nolint:contextcheck // a try goes on after the call that found it due
+	}
 	return reply, err
 }
 
