Write at once that an item was given up

An owner that has seen an item fail as often as allowed kept the result for up to 0.9 s, the pause between two writes. If it died meanwhile the next owner ran the item again: the failures are counted by the process that sees them. Owners that die one after the other could so pass the bound of answers of 422 or 500 that an item may get (BUDGET). The class is a decision that is known to one process only.

"runs an item that can never be done once, however many owners die" failed before: with the second owner it was run twice.

Failures below the bound still die with their owner; an owner that dies between two failures of an item gives it at most two more (docs/OPEN.md 33).

--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -202,7 +202,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.runs[request.ID] = append(e.runs[request.ID], request.Resume)
-	if failed := e.fail[request.ID]; failed != nil {
+	failed := e.fail[request.ID]
+	if failed != nil && e.hold[request.ID] == nil {
 		return nil, failed
 	}
 	version := e.version
@@ -210,6 +211,9 @@
 		version = 5
 	}
 	s := &stream{ctx: ctx, item: request.ID, next: request.Resume, version: version, hold: e.hold[request.ID], cut: -1}
+	if failed != nil {
+		s.fail = failed
+	}
 	if at, ok := e.cut[request.ID]; ok {
 		s.cut = at
 		delete(e.cut, request.ID)
@@ -241,6 +245,7 @@
 	version uint64
 	hold    chan struct{}
 	cut     int
+	fail    error // after the hold
 	begun   bool
 }
 
@@ -255,6 +260,9 @@
 		case <-s.ctx.Done():
 			return batch.Event{}, s.ctx.Err()
 		}
+		if s.fail != nil {
+			return batch.Event{}, s.fail
+		}
 	}
 	if s.next == s.cut {
 		return batch.Event{}, &forward.BrokenError{Reason: "cut"}
@@ -469,6 +477,27 @@
 		Expect(s.gen.resumed("a2")).To(HaveLen(1))
 	})
 
+	// Guards against an item that each owner of a batch runs again since the one
+	// before died with the failure in its memory.
+	It("runs an item that can never be done once, however many owners die", func() {
+		for _, host := range []string{"h4", "h5"} {
+			s.start(host, 1)
+		}
+		held := make(chan struct{})
+		s.gen.hold["a2"], s.gen.hold["a3"] = held, make(chan struct{})
+		s.gen.fail = map[string]*batch.FailedRunError{"a2": {Final: true}}
+		accept("h1", submission("one", "a1", "a2", "a3"))
+		Eventually(func() []string { return s.listed("h5", "one") }, patience).Should(Equal([]string{"a1"}))
+		close(held)
+		for i, host := range []string{"h1", "h2", "h3", "h4"} {
+			Eventually(func() int { return len(s.gen.resumed("a3")) }, patience).Should(Equal(i + 1))
+			time.Sleep(200 * time.Millisecond) // less than the pause between two writes
+			s.kill(host)
+		}
+		Eventually(func() int { return len(s.gen.resumed("a3")) }, patience).Should(Equal(5))
+		Expect(s.gen.resumed("a2")).To(HaveLen(1))
+	})
+
 	It("takes no text of weights that are too old", func() {
 		s.gen.version = 4
 		accept("h1", submission("one", "a1"))
--- a/internal/rollout/batch/work.go
+++ b/internal/rollout/batch/work.go
@@ -109,7 +109,8 @@
 }
 
 // collect waits for a result, and gathers others until the next write may be
-// made.
+// made. An item that was given up is written at once: it would fail at the next
+// owner's engines as often again.
 func (w *work) collect(ctx context.Context) ([]Result, bool) {
 	var results []Result
 	size := 0
@@ -120,7 +121,10 @@
 		case result := <-w.ready:
 			results = append(results, result)
 			size += len(result.Text)
-			if full == nil {
+			if result.State == Errored {
+				next = time.Time{}
+			}
+			if full == nil || result.State == Errored {
 				full = time.After(max(leastGather, time.Until(next)))
 			}
 			if size >= chunkBytes || len(results) >= w.left() || w.completes(results) {
