--- a/internal/site/chain/chain.go
+++ b/internal/site/chain/chain.go
@@ -48,7 +48,7 @@
 
 // dependencies are the events that tell of lost and regained dependencies and
 // of a host's own start and stop.
-var dependencies = []string{"HW3004", "HW3005", "HW3007", "HW3008", "HW3009", "HW4002", "HW4006", "HW4008", "HW4009"}
+var dependencies = []string{"HW3004", "HW3005", "HW3007", "HW3008", "HW3009", "HW3017", "HW3018", "HW3020", "HW4002", "HW4006", "HW4008", "HW4009"}
 
 // around is the time before the first line of a chain in which a loss may be
 // its cause.
