--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -23,7 +23,7 @@
 	Header    http.Header
 	Body      []byte
 	Workspace string        // empty for work without one
-	Left      time.Duration // time that the server has, zero for no bound
+	Left      time.Duration // time that the server has, zero for no bound, negative when it is over
 	Urgency   int           // 0 is the most urgent, negative to leave it out
 	Resume    int           // events of an earlier run, of requests for streams
 }
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -181,6 +181,18 @@
 		Entry("before it is sent again", answer("breaks"), 2, 1),
 	)
 
+	// Guards against a request whose caller says that no time is left and that is
+	// given the time of its route.
+	It("is refused at once when no time is left", func(ctx SpecContext) {
+		sender := &servers{}
+		f := &forward.Forwarder{Pool: pooled(1), Sender: sender, Ran: func(string) {}, Log: quiet}
+		route := policy.Route{Name: "r", Kind: policy.Safe, Attempts: 3, Targets: []policy.Target{{Service: "s", Weight: 1}}, Timeout: time.Minute}
+		_, err := f.Do(ctx, route, forward.Request{ID: "x", Left: -1})
+		Expect(errors.As(err, new(*forward.RefusedError))).To(BeTrue(), "%v", err)
+		got, _ := sender.count()
+		Expect(got).To(BeZero())
+	})
+
 	It("ends with its caller", func(ctx SpecContext) {
 		left, leave := context.WithCancel(ctx)
 		sender := &servers{answers: []answer{"hangs"}}
--- a/internal/entry/forward/run.go
+++ b/internal/entry/forward/run.go
@@ -77,6 +77,9 @@
 // *FailedError, or that of the context when the caller has left.
 func (f *Forwarder) Do(ctx context.Context, route policy.Route, request Request) (Answer, error) {
 	left := request.Left
+	if left < 0 {
+		return Answer{}, &RefusedError{Reason: "no time left", After: comeBack}
+	}
 	if route.Timeout > 0 && (left <= 0 || route.Timeout < left) {
 		left = route.Timeout
 	}
