Count an item's failures over all batches that hold it

Engines saw items that fail at each run again and again (BUDGET): a group that a step leaves unfinished comes again with the next ones, under the same ids, with the items in it that had already been given up.

Cause: failures were counted by the batch that ran the item. Each of the batches in which a group came again ran such an item max_attempts times, and one that can never be done once; only text was carried over. The class is a bound kept for one attempt, not for what repeats it, as with requests that crash servers.

The failures travel with the text of an item; of an owner that does not answer the log in the store tells what was given up. An item runs in three batches as often as its route allows, and no more after that; one that can never be done is not run again.

--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -657,6 +657,30 @@
 		Expect(s.listed("h1", "one")).To(BeEmpty())
 	})
 
+	// Guards against an item that fails at each run and that each step in which its
+	// group comes again runs as often again: at most three steps may.
+	DescribeTable("runs an item no more that failed in earlier batches", func(final bool, between func(), runs int) {
+		s.gen.fail = map[string]*batch.FailedRunError{"b1": {Final: final}}
+		accept("h1", submission("one", "a1", "b1"))
+		Eventually(func() []string { return s.listed("h2", "one") }, patience).Should(ConsistOf("a1", "b1"))
+		for i, host := range []string{"h2", "h3", "h2", "h3", "h2"} {
+			between()
+			id := fmt.Sprintf("later-%d", i)
+			accept(host, submission(id, "c1", "b1"))
+			Eventually(func() []string { return s.listed("h3", id) }, patience).Should(ConsistOf("c1", "b1"))
+			page, err := s.read("h3", id, 0)
+			Expect(err).NotTo(HaveOccurred())
+			for _, r := range page.Results {
+				Expect(r.State == batch.Errored).To(Equal(r.ID == "b1"))
+			}
+		}
+		Expect(s.gen.resumed("b1")).To(HaveLen(runs))
+	},
+		Entry("as often as allowed", false, func() {}, 9),
+		Entry("for good", true, func() {}, 1),
+		Entry("whose owner has died since", false, func() { s.kill("h1") }, 6),
+	)
+
 	It("generates carried items anew when their text is too old", func() {
 		s.gen.hold["a1"] = make(chan struct{})
 		accept("h1", submission("one", "a1"))
--- a/internal/rollout/batch/carry.go
+++ b/internal/rollout/batch/carry.go
@@ -19,21 +19,27 @@
 	keepPartial = 30 * time.Second
 	// partialsTimeout bounds the question for it, which delays a step's start.
 	partialsTimeout = 150 * time.Millisecond
+	// givenUpTimeout bounds the reading of the logs of owners that don't answer, which
+	// delays a step's start as well; a slow store answers in a quarter of a second.
+	givenUpTimeout = 300 * time.Millisecond
 	// recentEnd is the age up to which a batch may have left items behind.
 	recentEnd = 20 * time.Second
 )
 
-// storePartial keeps the text of an item that its batch did not finish.
+// storePartial keeps the text of an item that its batch did not finish, and the
+// failures of one that can't be finished.
 func (b *Book) storePartial(item string, partial Partial) {
-	if len(partial.Texts) == 0 {
+	if len(partial.Texts) == 0 && partial.Fails == 0 {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.fill()
-	if len(b.partials[item].Texts) >= len(partial.Texts) && b.partials[item].newest() >= partial.newest() {
-		return
+	known := b.partials[item]
+	if len(known.Texts) >= len(partial.Texts) && known.newest() >= partial.newest() {
+		partial.Texts, partial.Versions, partial.Whole = known.Texts, known.Versions, known.Whole
 	}
+	partial.addFails(known)
 	b.partials[item] = partial
 	time.AfterFunc(keepPartial, func() {
 		b.mu.Lock()
@@ -42,6 +48,12 @@
 	})
 }
 
+// addFails takes in what another host or batch knows of the item's failures.
+func (p *Partial) addFails(other Partial) {
+	p.Fails = max(p.Fails, other.Fails)
+	p.Final = p.Final || other.Final
+}
+
 func (p Partial) newest() uint64 {
 	if len(p.Versions) == 0 {
 		return 0
@@ -130,8 +142,9 @@
 	return reply
 }
 
-// carried returns the usable text of a batch's items from this host and from
-// the owners of the latest batches along the same route.
+// carried returns the usable text and the failures of a batch's items from this
+// host and from the owners of the latest batches along the same route. Of an owner
+// that does not answer, the log in the store tells which items were given up.
 func (b *Book) carried(ctx context.Context, batch Batch) map[string]Partial {
 	request := PartialsRequest{
 		Batch: batch.ID, Workspace: batch.Workspace, Route: batch.Route, Items: make([]string, len(batch.Items)),
@@ -140,39 +153,78 @@
 		request.Items[i] = item.ID
 	}
 	found := map[string]Partial{}
-	add := func(reply PartialsReply) {
-		for item, partial := range reply.Partials {
-			if partial.usable(batch) && len(partial.Texts) > len(found[item].Texts) {
-				found[item] = partial
+	add := func(partials map[string]Partial) {
+		for item, partial := range partials {
+			best := found[item]
+			if partial.usable(batch) && len(partial.Texts) > len(best.Texts) {
+				best.Texts, best.Versions, best.Whole = partial.Texts, partial.Versions, partial.Whole
 			}
+			best.addFails(partial)
+			found[item] = best
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, partialsTimeout)
+	var unread []string // batches of owners that don't answer
+	asking, cancel := context.WithTimeout(ctx, partialsTimeout)
 	defer cancel()
-	add(b.ServePartials(ctx, request))
-	for _, host := range b.previousOwners(batch) {
-		reply, err := b.Peers.Partials(ctx, host, request)
-		if err != nil {
-			b.Log.Emit(event.BatchNoticeFailed, "batch", batch.ID, "owner", host, "err", err.Error())
-			continue
+	add(b.ServePartials(asking, request).Partials)
+	for owner, batches := range b.previousOwners(batch) {
+		if owner.host != b.Host {
+			reply, err := b.Peers.Partials(asking, owner.host, request)
+			if err == nil {
+				add(reply.Partials)
+				continue
+			}
+			b.Log.Emit(event.BatchNoticeFailed, "batch", batch.ID, "owner", owner.host, "err", err.Error())
+		}
+		unread = append(unread, batches...)
+	}
+	reading, stop := context.WithTimeout(ctx, givenUpTimeout)
+	defer stop()
+	for _, id := range unread {
+		for _, item := range b.givenUp(reading, id) {
+			partial := found[item]
+			partial.Fails += batch.Attempts
+			found[item] = partial
 		}
-		add(reply)
 	}
 	return found
 }
 
-// previousOwners returns the other hosts that ran batches of the same workspace
-// and route lately.
-func (b *Book) previousOwners(batch Batch) []string {
+// givenUp returns the items that the log of a batch lists as given up.
+func (b *Book) givenUp(ctx context.Context, id string) []string {
+	chunks, err := b.ledger().log(ctx, id, 0)
+	if err != nil {
+		b.Log.Emit(event.BatchUnreadable, "batch", id, "err", err.Error())
+		return nil
+	}
+	var items []string
+	for _, result := range slices.Concat(chunks...) {
+		if result.State == Errored {
+			items = append(items, result.ID)
+		}
+	}
+	return items
+}
+
+// ownership is a process that ran a batch.
+type ownership struct {
+	host        string
+	incarnation uint64
+}
+
+// previousOwners returns the processes that ran batches of the same workspace and
+// route lately, and which. This process is left out, since it knows what it ran.
+func (b *Book) previousOwners(batch Batch) map[ownership][]string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	oldest := time.Now().Add(-recentEnd).UnixMilli()
-	var hosts []string
+	owners := map[ownership][]string{}
 	for id, k := range b.known {
 		same := id != batch.ID && k.Workspace == batch.Workspace && k.Route == batch.Route && k.Submitted >= oldest
-		if same && k.Owner != "" && k.Owner != b.Host && !slices.Contains(hosts, k.Owner) {
-			hosts = append(hosts, k.Owner)
+		owner := ownership{k.Owner, k.Incarnation}
+		if same && k.Owner != "" && owner != (ownership{b.Host, b.Incarnation}) {
+			owners[owner] = append(owners[owner], id)
 		}
 	}
-	return hosts
+	return owners
 }
--- a/internal/rollout/batch/generate.go
+++ b/internal/rollout/batch/generate.go
@@ -26,6 +26,9 @@
 	again = 40 * time.Millisecond
 	// scoreAgain is the pause before a scorer is called once more.
 	scoreAgain = 80 * time.Millisecond
+	// carriedFails is the number of batches in which an item may fail as often as
+	// its route allows: one that fails at each run comes again with its group.
+	carriedFails = 3
 	// engineQueue is the number of generations that may wait at an engine beyond
 	// its slots: one round of the shortest ones.
 	engineQueue = 2
@@ -47,6 +50,8 @@
 	versions []uint64 // ordered, without repeats
 	whole    bool
 	fails    int
+	before   int  // failures in earlier batches
+	final    bool // no engine can do it
 	avoid    string
 	runs     int
 }
@@ -67,8 +72,11 @@
 			return
 		}
 		partial := carried[item.ID]
-		g := &generation{work: w, item: item, texts: partial.Texts, versions: partial.Versions, whole: partial.Whole}
-		if g.whole {
+		g := &generation{
+			work: w, item: item, texts: partial.Texts, versions: partial.Versions, whole: partial.Whole,
+			before: partial.Fails, final: partial.Final,
+		}
+		if g.whole || g.failed() {
 			start(g, nil) // needs no engine any more
 			continue
 		}
@@ -116,9 +124,14 @@
 func (g *generation) run(ctx context.Context, choice *pool.Choice) (Result, bool) {
 	started := time.Now()
 	defer func() { g.Meter.Time("item_seconds", time.Since(started), "route", g.batch.Route) }()
-	defer func() { g.storePartial(g.item.ID, Partial{Texts: g.texts, Versions: g.versions, Whole: g.whole}) }()
-	if g.whole {
+	defer func() {
+		g.storePartial(g.item.ID, Partial{Texts: g.texts, Versions: g.versions, Whole: g.whole, Fails: g.before + g.fails, Final: g.final})
+	}()
+	switch {
+	case g.whole:
 		return g.score(ctx)
+	case g.failed():
+		return g.errored("failed in an earlier batch"), true
 	}
 	for ctx.Err() == nil {
 		if choice == nil || time.Now().After(g.expires) {
@@ -151,8 +164,9 @@
 	now := time.Now()
 	if failed, ok := errors.AsType[*FailedRunError](err); ok {
 		g.fails++
+		g.final = failed.Final
 		g.note(choice, err)
-		return failed.Final || g.fails >= g.batch.Attempts
+		return g.failed()
 	}
 	if notRun, ok := errors.AsType[*forward.NotRunError](err); ok {
 		if notRun.Load != nil {
@@ -180,6 +194,13 @@
 	return false
 }
 
+// failed says whether the item has failed for good or as often as allowed, in this
+// batch or in all that held it.
+func (g *generation) failed() bool {
+	most := g.batch.Attempts
+	return g.final || g.fails > 0 && g.fails >= most || g.before > 0 && g.before+g.fails >= carriedFails*most
+}
+
 func (g *generation) note(choice *pool.Choice, err error) {
 	g.Meter.Count("generations_broken_total", "server", choice.Server.Name)
 	g.Log.Emit(event.GenerationBroken, "item", g.item.ID, "batch", g.batch.ID, "server", choice.Server.Name,
