Count a scorer's failures over all batches that hold its item

The same cause as with items: a scorer that always fails was called max_attempts times in each batch in which its item's group came again, since its failures were counted by the batch.

--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -148,13 +148,17 @@
 
 // Partial is the text of an item as far as it was generated, to its end when
 // Whole is set. Versions are the weights that generated it. Fails is how often an
-// engine failed the item, Final that none can ever do it.
+// engine failed the item, Final that none can ever do it, ScoreFails how often its
+// scorer failed, Unscorable that it is not to be called again.
 type Partial struct {
 	Texts    []string `cbor:"1,keyasint"`
 	Versions []uint64 `cbor:"2,keyasint"`
 	Whole    bool     `cbor:"3,keyasint,omitempty"`
 	Fails    int      `cbor:"4,keyasint,omitempty"`
 	Final    bool     `cbor:"5,keyasint,omitempty"`
+
+	ScoreFails int  `cbor:"6,keyasint,omitempty"`
+	Unscorable bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Page is a part of a batch's results from a position on.
--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -681,6 +681,26 @@
 		Entry("whose owner has died since", false, func() { s.kill("h1") }, 6),
 	)
 
+	// Guards against a scorer that always fails and is called as often again by each
+	// step in which its item's group comes again.
+	It("calls a scorer no more that failed in earlier batches", func() {
+		s.gen.noScore = 99
+		b := submission("one", "b1")
+		b.Items[0].Scorer = &batch.Scorer{ID: "s"}
+		for i, host := range []string{"h1", "h2", "h3", "h2", "h1"} {
+			b.ID = fmt.Sprintf("batch-%d", i)
+			accept(host, b)
+			Eventually(func() []string { return s.listed("h3", b.ID) }, patience).Should(ConsistOf("b1"))
+			page, err := s.read("h3", b.ID, 0)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(page.Results[0].State).To(Equal(batch.Errored))
+		}
+		s.gen.mu.Lock()
+		defer s.gen.mu.Unlock()
+		Expect(s.gen.scores).To(Equal(9))
+		Expect(s.gen.runs["b1"]).To(HaveLen(1), "its text is kept")
+	})
+
 	It("generates carried items anew when their text is too old", func() {
 		s.gen.hold["a1"] = make(chan struct{})
 		accept("h1", submission("one", "a1"))
--- a/internal/rollout/batch/carry.go
+++ b/internal/rollout/batch/carry.go
@@ -52,6 +52,8 @@
 func (p *Partial) addFails(other Partial) {
 	p.Fails = max(p.Fails, other.Fails)
 	p.Final = p.Final || other.Final
+	p.ScoreFails = max(p.ScoreFails, other.ScoreFails)
+	p.Unscorable = p.Unscorable || other.Unscorable
 }
 
 func (p Partial) newest() uint64 {
--- a/internal/rollout/batch/generate.go
+++ b/internal/rollout/batch/generate.go
@@ -52,6 +52,8 @@
 	fails    int
 	before   int  // failures in earlier batches
 	final    bool // no engine can do it
+	unscored int  // failures of its scorer, in all batches
+	hopeless bool // the scorer is not to be called again
 	avoid    string
 	runs     int
 }
@@ -74,7 +76,8 @@
 		partial := carried[item.ID]
 		g := &generation{
 			work: w, item: item, texts: partial.Texts, versions: partial.Versions, whole: partial.Whole,
-			before: partial.Fails, final: partial.Final,
+			before: partial.Fails, final: partial.Final, unscored: partial.ScoreFails,
+			hopeless: partial.Unscorable,
 		}
 		if g.whole || g.failed() {
 			start(g, nil) // needs no engine any more
@@ -125,7 +128,10 @@
 	started := time.Now()
 	defer func() { g.Meter.Time("item_seconds", time.Since(started), "route", g.batch.Route) }()
 	defer func() {
-		g.storePartial(g.item.ID, Partial{Texts: g.texts, Versions: g.versions, Whole: g.whole, Fails: g.before + g.fails, Final: g.final})
+		g.storePartial(g.item.ID, Partial{
+			Texts: g.texts, Versions: g.versions, Whole: g.whole,
+			Fails: g.before + g.fails, Final: g.final, ScoreFails: g.unscored, Unscorable: g.hopeless,
+		})
 	}()
 	switch {
 	case g.whole:
@@ -281,6 +287,9 @@
 	if g.item.Scorer == nil {
 		return result, true
 	}
+	if g.hopeless {
+		return g.errored("scorer failed in earlier batches"), true
+	}
 	fails := 0
 	for ctx.Err() == nil {
 		score, err := g.Scores.Score(ctx, *g.item.Scorer)
@@ -291,8 +300,10 @@
 		failed, ok := errors.AsType[*FailedScoreError](err)
 		if ok {
 			fails += failed.Fails
+			g.unscored += failed.Fails
+			g.hopeless = g.unscored >= carriedFails*failed.Most
 		}
-		if ok && fails >= failed.Most || time.Now().After(g.expires) {
+		if ok && (fails >= failed.Most || g.hopeless) || time.Now().After(g.expires) {
 			return g.errored("scorer: " + err.Error()), true
 		}
 		select {
