--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -115,6 +115,9 @@
 	// revokeMargin is kept of the bound for withdrawn keys, for the time from a
 	// caller's sending to the check.
 	revokeMargin = 300 * time.Millisecond
+	// failuresEvery is the least time between two lines about failures of one watch,
+	// which is made again several times a second while the store is away.
+	failuresEvery = time.Second
 	// lostAfter is how long the store has to answer no call before that is logged:
 	// single calls fail on ordinary days.
 	lostAfter = 800 * time.Millisecond
@@ -382,12 +385,16 @@
 // zone, or from the store for the others to follow.
 func (n *Node) mirrored(watch watch, prefix string, handle func(object.Change)) object.Follower {
 	mirror := n.mirrors[prefix]
+	var said time.Duration // when a failure was logged last
 	source := &peer.Source{Direct: n.reach(watch.own), Brief: n.reach(watch.brief), Directory: n.Directory, Wait: followWait}
 	return object.Follower{
 		Reader: source, Prefix: prefix, Now: n.clock, Pace: watch.pace, Retry: n.health.Back,
 		Lost: func(err error, took time.Duration) {
 			mirror.Lost()
-			n.Log.Emit(event.WatchFailed, "entry", prefix, "ms", took.Milliseconds(), "age", n.age().String(), "err", err.Error())
+			if now := n.clock(); now-said >= failuresEvery {
+				said = now
+				n.Log.Emit(event.WatchFailed, "entry", prefix, "ms", took.Milliseconds(), "age", n.age().String(), "err", err.Error())
+			}
 		},
 		Handle: func(change object.Change) {
 			handle(change)
