Bound the watches that a peer makes for a host

A host that reaches the store through peers let a peer wait up to 20 s for a change of the servers; one that stood still meanwhile held that list up for as long. The same class as the watch of the configuration: a limit longer than the bound of what depends on it.

--- a/internal/fleet/peer/detour_test.go
+++ b/internal/fleet/peer/detour_test.go
@@ -123,6 +123,22 @@
 		Expect(watched(ctx)).To(BeNumerically("<", back+soon))
 	})
 
+	// Guards against a list of servers that stays old for as long as its watch may
+	// wait: 20 s.
+	It("leaves a peer that stands still after seconds, however long it may wait", func(ctx SpecContext) {
+		store.Inject(func(string, string) objects.Fault { return objects.Down })
+		relay.Wait = 20 * time.Second
+		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		_, err := relay.Get(short, "k/a")
+		Expect(err).To(HaveOccurred())
+		limited, stop := context.WithTimeout(ctx, 8*time.Second)
+		defer stop()
+		_, err = relay.Watch(limited, "k/", 0)
+		Expect(err).To(HaveOccurred())
+		Expect(limited.Err()).NotTo(HaveOccurred())
+	})
+
 	// Guards against a host that tries the store, and logs that, at each call while
 	// its connections are reset again and again.
 	It("tries a store that fails by turns seldom", func(ctx SpecContext) {
--- a/internal/fleet/peer/relay.go
+++ b/internal/fleet/peer/relay.go
@@ -20,6 +20,9 @@
 	relayTimeout = 1500 * time.Millisecond
 	// relayMargin is the time beyond its wait that a relayed watch may take.
 	relayMargin = 500 * time.Millisecond
+	// relayWait is the longest wait of a relayed watch: a peer that stands still is
+	// found only by its end.
+	relayWait = 1500 * time.Millisecond
 	// relayTries is the number of peers that are asked for one call.
 	relayTries = 2
 	// silentPeer is the time after which a peer that was no help is logged; one
@@ -233,7 +236,7 @@
 
 // Watch implements object.Reader.
 func (r *Relay) Watch(ctx context.Context, prefix string, after uint64) (object.Batch, error) {
-	reply, err := r.do(ctx, relayed{Op: opWatch, Key: prefix, Expect: after, Wait: r.Wait})
+	reply, err := r.do(ctx, relayed{Op: opWatch, Key: prefix, Expect: after, Wait: min(r.Wait, relayWait)})
 	return reply.Batch, err
 }
 
