--- a/internal/entry/poison/poison.go
+++ b/internal/entry/poison/poison.go
@@ -1,7 +1,8 @@
 // Package poison finds requests that crash the backend servers that run them,
 // and never convicts a request that only ran beside one.
 //
-// Rules:
+// Ledger is for hosts that can run a suspect alone on a backend server; Breaks, whose
+// rules stand there, for those that can't. Rules of the Ledger:
 //
 //  1. A crash marks the requests that ran on the backend server as suspects,
 //     by the fingerprint of their workspace and body.
@@ -14,7 +15,7 @@
 //  5. Suspicions and convictions spread to other hosts and expire. A clearance
 //     is not spread: it would free a request that another host convicts.
 //
-// Every method of Ledger is safe for concurrent use.
+// Every method of Ledger and of Breaks is safe for concurrent use.
 package poison
 
 import (
--- a/internal/fleet/peer/relay.go
+++ b/internal/fleet/peer/relay.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
@@ -28,11 +27,6 @@
 	// silentPeer is the time after which a peer that was no help is logged; one
 	// that does not reach the store says so within milliseconds.
 	silentPeer = 100 * time.Millisecond
-	// probeEvery is the least time between two tries of the store, which bills
-	// them, also when it refuses. Only a host that makes calls tries. With a try
-	// that was under way as the store came back, it stays below the 3 s after which
-	// a host has to know the configuration again.
-	probeEvery = 1500 * time.Millisecond
 	// probePatience is how long a call waits for such a try before it goes to
 	// peers; a store that is well answers in milliseconds.
 	probePatience = 50 * time.Millisecond
@@ -57,116 +51,6 @@
 	Health *Health
 }
 
-// Health says whether a host reaches the store by itself. The zero value says
-// that it does. Log receives each change of the way and each peer that was no
-// help. It is safe for concurrent use.
-type Health struct {
-	Log event.Log
-
-	mu    sync.Mutex
-	down  bool
-	since time.Time     // of the first call without an answer
-	tried time.Time     // the latest call without an answer
-	found time.Time     // when the store was in reach again
-	try   chan struct{} // closed at the end of the try under way, nil without one
-	back  chan struct{} // closed when the store answers a try after a loss
-	doubt chan struct{} // closed when a try after a loss fails
-}
-
-// Down says whether the store is out of direct reach.
-func (h *Health) Down() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.down
-}
-
-// Back returns a channel that is closed when the store is in direct reach again
-// after a loss.
-func (h *Health) Back() <-chan struct{} {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return channel(&h.back)
-}
-
-// turns returns channels that are closed when the store answers a try after a
-// loss, and when it does not.
-func (h *Health) turns() (back, doubt <-chan struct{}) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return channel(&h.back), channel(&h.doubt)
-}
-
-func channel(c *chan struct{}) <-chan struct{} {
-	if *c == nil {
-		*c = make(chan struct{})
-	}
-	return *c
-}
-
-func signal(c *chan struct{}) {
-	if *c != nil {
-		close(*c)
-		*c = nil
-	}
-}
-
-// lost notes a direct call that was made at an instant and failed. It returns
-// whether the store is to be tried at once. A call made before the store was
-// found again says nothing new, and one that fails soon after goes on through
-// peers, so that a way which fails by turns costs few tries and few lines.
-func (h *Health) lost(now, made time.Time, call relayed, err error) (try bool) {
-	h.mu.Lock()
-	if made.Before(h.found) {
-		h.mu.Unlock()
-		return false
-	}
-	first, again := !h.down, now.Sub(h.found) < probeEvery
-	if first {
-		h.since = now
-	}
-	h.down, h.tried = true, now
-	h.mu.Unlock()
-	if first {
-		h.Log.Emit(event.StoreDetoured, "call", string(call.Op), "entry", call.entry(), "ms", now.Sub(made).Milliseconds(), "err", err.Error())
-	}
-	return !again
-}
-
-// due says whether the store is to be tried again now.
-func (h *Health) due(now time.Time) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.down && h.try == nil && now.Sub(h.tried) >= probeEvery
-}
-
-// begin returns a channel that is closed at the end of the try under way, and
-// whether the caller has to make it.
-func (h *Health) begin() (ended <-chan struct{}, own bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	own = h.try == nil
-	return channel(&h.try), own
-}
-
-// settle takes in how a try ended.
-func (h *Health) settle(now time.Time, reached bool) {
-	h.mu.Lock()
-	turned, away := h.down && reached, now.Sub(h.since)
-	if h.down && !reached {
-		signal(&h.doubt)
-	}
-	h.down, h.tried = !reached, now
-	if turned {
-		h.found = now
-		signal(&h.back)
-	}
-	signal(&h.try)
-	h.mu.Unlock()
-	if turned {
-		h.Log.Emit(event.StoreDirect, "ms", away.Milliseconds())
-	}
-}
-
 // unreached says whether a call failed for want of the store and certainly had
 // no effect.
 func unreached(err error) bool {
--- a/internal/rollout/batch/generate.go
+++ b/internal/rollout/batch/generate.go
@@ -45,17 +45,17 @@
 // generation is one item under way; one goroutine owns it.
 type generation struct {
 	*work
-	item     Item
-	texts    []string // one for each event
-	versions []uint64 // ordered, without repeats
-	whole    bool
-	fails    int
-	before   int  // failures in earlier batches
-	final    bool // no engine can do it
-	unscored int  // failures of its scorer, in all batches
-	hopeless bool // the scorer is not to be called again
-	avoid    string
-	runs     int
+	item       Item
+	texts      []string // one for each event
+	versions   []uint64 // ordered, without repeats
+	whole      bool
+	fails      int
+	earlier    int  // failures in earlier batches
+	final      bool // no engine can do it
+	scoreFails int  // failures of its scorer, in all batches
+	unscorable bool // the scorer is not to be called again
+	avoid      string
+	runs       int
 }
 
 // dispatch starts the items, the longest first, each once an engine has a
@@ -76,8 +76,8 @@
 		partial := carried[item.ID]
 		g := &generation{
 			work: w, item: item, texts: partial.Texts, versions: partial.Versions, whole: partial.Whole,
-			before: partial.Fails, final: partial.Final, unscored: partial.ScoreFails,
-			hopeless: partial.Unscorable,
+			earlier: partial.Fails, final: partial.Final, scoreFails: partial.ScoreFails,
+			unscorable: partial.Unscorable,
 		}
 		if g.whole || g.failed() {
 			start(g, nil) // needs no engine any more
@@ -130,7 +130,7 @@
 	defer func() {
 		g.storePartial(g.item.ID, Partial{
 			Texts: g.texts, Versions: g.versions, Whole: g.whole,
-			Fails: g.before + g.fails, Final: g.final, ScoreFails: g.unscored, Unscorable: g.hopeless,
+			Fails: g.earlier + g.fails, Final: g.final, ScoreFails: g.scoreFails, Unscorable: g.unscorable,
 		})
 	}()
 	switch {
@@ -204,7 +204,7 @@
 // batch or in all that held it.
 func (g *generation) failed() bool {
 	most := g.batch.Attempts
-	return g.final || g.fails > 0 && g.fails >= most || g.before > 0 && g.before+g.fails >= carriedFails*most
+	return g.final || g.fails > 0 && g.fails >= most || g.earlier > 0 && g.earlier+g.fails >= carriedFails*most
 }
 
 func (g *generation) note(choice *pool.Choice, err error) {
@@ -287,7 +287,7 @@
 	if g.item.Scorer == nil {
 		return result, true
 	}
-	if g.hopeless {
+	if g.unscorable {
 		return g.errored("scorer failed in earlier batches"), true
 	}
 	fails := 0
@@ -300,10 +300,10 @@
 		failed, ok := errors.AsType[*FailedScoreError](err)
 		if ok {
 			fails += failed.Fails
-			g.unscored += failed.Fails
-			g.hopeless = g.unscored >= carriedFails*failed.Most
+			g.scoreFails += failed.Fails
+			g.unscorable = g.scoreFails >= carriedFails*failed.Most
 		}
-		if ok && (fails >= failed.Most || g.hopeless) || time.Now().After(g.expires) {
+		if ok && (fails >= failed.Most || g.unscorable) || time.Now().After(g.expires) {
 			return g.errored("scorer: " + err.Error()), true
 		}
 		select {
