Keep what is carried of an item in one value while it is generated

A generation copied each field of Partial in and out under another name, and kept the failures of earlier batches beside their sum. It embeds the Partial now. No behaviour is changed.

--- a/internal/rollout/batch/generate.go
+++ b/internal/rollout/batch/generate.go
@@ -45,17 +45,11 @@
 // generation is one item under way; one goroutine owns it.
 type generation struct {
 	*work
-	item       Item
-	texts      []string // one for each event
-	versions   []uint64 // ordered, without repeats
-	whole      bool
-	fails      int
-	earlier    int  // failures in earlier batches
-	final      bool // no engine can do it
-	scoreFails int  // failures of its scorer, in all batches
-	unscorable bool // the scorer is not to be called again
-	avoid      string
-	runs       int
+	Partial // over all batches that held the item
+	item    Item
+	fails   int // in this batch
+	avoid   string
+	runs    int
 }
 
 // dispatch starts the items, the longest first, each once an engine has a
@@ -73,13 +67,8 @@
 		case <-ctx.Done():
 			return
 		}
-		partial := carried[item.ID]
-		g := &generation{
-			work: w, item: item, texts: partial.Texts, versions: partial.Versions, whole: partial.Whole,
-			earlier: partial.Fails, final: partial.Final, scoreFails: partial.ScoreFails,
-			unscorable: partial.Unscorable,
-		}
-		if g.whole || g.failed() {
+		g := &generation{work: w, Partial: carried[item.ID], item: item}
+		if g.Whole || g.failed() {
 			start(g, nil) // needs no engine any more
 			continue
 		}
@@ -127,14 +116,9 @@
 func (g *generation) run(ctx context.Context, choice *pool.Choice) (Result, bool) {
 	started := time.Now()
 	defer func() { g.Meter.Time("item_seconds", time.Since(started), "route", g.batch.Route) }()
-	defer func() {
-		g.storePartial(g.item.ID, Partial{
-			Texts: g.texts, Versions: g.versions, Whole: g.whole,
-			Fails: g.earlier + g.fails, Final: g.final, ScoreFails: g.scoreFails, Unscorable: g.unscorable,
-		})
-	}()
+	defer func() { g.storePartial(g.item.ID, g.Partial) }()
 	switch {
-	case g.whole:
+	case g.Whole:
 		return g.score(ctx)
 	case g.failed():
 		return g.errored("failed in an earlier batch"), true
@@ -150,7 +134,7 @@
 		err := g.attempt(ctx, choice)
 		choice.Release()
 		if err == nil {
-			g.whole = true
+			g.Whole = true
 			return g.score(ctx)
 		}
 		if ctx.Err() != nil {
@@ -170,7 +154,8 @@
 	now := time.Now()
 	if failed, ok := errors.AsType[*FailedRunError](err); ok {
 		g.fails++
-		g.final = failed.Final
+		g.Fails++
+		g.Final = failed.Final
 		g.note(choice, err)
 		return g.failed()
 	}
@@ -192,7 +177,7 @@
 	}
 	if isError[*staleError](err) {
 		if g.batch.Single {
-			g.texts, g.versions = nil, nil
+			g.Texts, g.Versions = nil, nil
 		}
 		return false
 	}
@@ -204,13 +189,13 @@
 // batch or in all that held it.
 func (g *generation) failed() bool {
 	most := g.batch.Attempts
-	return g.final || g.fails > 0 && g.fails >= most || g.earlier > 0 && g.earlier+g.fails >= carriedFails*most
+	return g.Final || g.fails > 0 && g.fails >= most || g.Fails > g.fails && g.Fails >= carriedFails*most
 }
 
 func (g *generation) note(choice *pool.Choice, err error) {
 	g.Meter.Count("generations_broken_total", "server", choice.Server.Name)
 	g.Log.Emit(event.GenerationBroken, "item", g.item.ID, "batch", g.batch.ID, "server", choice.Server.Name,
-		"events", len(g.texts), "run", g.runs, "fails", g.fails, "err", err.Error())
+		"events", len(g.Texts), "run", g.runs, "fails", g.fails, "err", err.Error())
 }
 
 // attempt runs the item on one engine, from the text so far.
@@ -221,7 +206,7 @@
 	defer silence.Stop()
 	stream, err := g.Engine.Generate(ctx, choice.Server, forward.Request{
 		ID: g.item.ID, Host: g.batch.Host, Method: "POST", Target: g.item.Target, Header: g.item.Header,
-		Body: g.item.Body, Workspace: g.batch.Workspace, Urgency: -1, Resume: len(g.texts),
+		Body: g.item.Body, Workspace: g.batch.Workspace, Urgency: -1, Resume: len(g.Texts),
 	})
 	if err != nil {
 		return err
@@ -250,7 +235,7 @@
 			return err
 		}
 		if gap, ok := pace.event(time.Now()); ok && g.runs < mostRuns {
-			if quickest := choice.Quickest(time.Now(), g.need()); MovePays(len(g.texts), gap, quickest) {
+			if quickest := choice.Quickest(time.Now(), g.need()); MovePays(len(g.Texts), gap, quickest) {
 				return &movedError{gap: gap, quickest: quickest}
 			}
 		}
@@ -259,15 +244,15 @@
 
 // add takes an event into the text, if its number and its weights fit.
 func (g *generation) add(next Event, version uint64) error {
-	if next.Number != len(g.texts)+1 {
+	if next.Number != len(g.Texts)+1 {
 		return &forward.BrokenError{Reason: "events out of order"}
 	}
-	if version < g.batch.Floor || g.batch.Single && len(g.versions) > 0 && g.versions[0] != version {
+	if version < g.batch.Floor || g.batch.Single && len(g.Versions) > 0 && g.Versions[0] != version {
 		return &staleError{version: version}
 	}
-	g.texts = append(g.texts, next.Text)
-	if at, found := slices.BinarySearch(g.versions, version); !found {
-		g.versions = slices.Insert(g.versions, at, version)
+	g.Texts = append(g.Texts, next.Text)
+	if at, found := slices.BinarySearch(g.Versions, version); !found {
+		g.Versions = slices.Insert(g.Versions, at, version)
 	}
 	return nil
 }
@@ -283,11 +268,11 @@
 
 // score calls the item's scorer until it answers, or has failed too often.
 func (g *generation) score(ctx context.Context) (Result, bool) {
-	result := Result{ID: g.item.ID, State: Completed, Text: strings.Join(g.texts, "\n"), Versions: g.versions}
+	result := Result{ID: g.item.ID, State: Completed, Text: strings.Join(g.Texts, "\n"), Versions: g.Versions}
 	if g.item.Scorer == nil {
 		return result, true
 	}
-	if g.unscorable {
+	if g.Unscorable {
 		return g.errored("scorer failed in earlier batches"), true
 	}
 	fails := 0
@@ -300,10 +285,10 @@
 		failed, ok := errors.AsType[*FailedScoreError](err)
 		if ok {
 			fails += failed.Fails
-			g.scoreFails += failed.Fails
-			g.unscorable = g.scoreFails >= carriedFails*failed.Most
+			g.ScoreFails += failed.Fails
+			g.Unscorable = g.ScoreFails >= carriedFails*failed.Most
 		}
-		if ok && (fails >= failed.Most || g.unscorable) || time.Now().After(g.expires) {
+		if ok && (fails >= failed.Most || g.Unscorable) || time.Now().After(g.expires) {
 			return g.errored("scorer: " + err.Error()), true
 		}
 		select {
@@ -316,6 +301,6 @@
 
 func (g *generation) errored(why string) Result {
 	g.Log.Emit(event.ItemErrored, "item", g.item.ID, "batch", g.batch.ID, "why", why, "runs", g.runs,
-		"fails", g.fails, "events", len(g.texts))
+		"fails", g.fails, "events", len(g.Texts))
 	return Result{ID: g.item.ID, State: Errored}
 }
