--- a/internal/fleet/peer/relay.go
+++ b/internal/fleet/peer/relay.go
@@ -178,19 +178,12 @@
 // is given up: its connection may have died as well.
 func (r *Relay) direct(ctx context.Context, call relayed) (relayReply, error) {
 	made := time.Now()
-	calling, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	calling := ctx
 	if call.Op == opWatch {
 		back, doubt := r.Health.turns()
-		go func() {
-			select {
-			case <-back:
-				cancel(errTurned)
-			case <-doubt:
-				cancel(errTurned)
-			case <-calling.Done():
-			}
-		}()
+		until, cancel := endOn(ctx, errTurned, back, doubt)
+		defer cancel()
+		calling = until
 	}
 	reply, err := perform(calling, r.Direct, call)
 	if err != nil && context.Cause(calling) == errTurned { //nolint:errorlint // set above, never wrapped
@@ -206,6 +199,22 @@
 	return reply, err
 }
 
+// endOn returns a context that ends with a cause once one of two channels is
+// closed, of which the second may be nil.
+func endOn(ctx context.Context, cause error, one, other <-chan struct{}) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	go func() {
+		select {
+		case <-one:
+			cancel(cause)
+		case <-other:
+			cancel(cause)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() { cancel(nil) }
+}
+
 // probe tries the store directly once, unless a try is under way, and waits a
 // moment for the answer.
 func (r *Relay) probe(patience time.Duration) {
@@ -230,15 +239,8 @@
 	if call.Op == opPut || call.Op == opDelete {
 		return r.ask(ctx, call)
 	}
-	asking, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	go func() {
-		select {
-		case <-back:
-			cancel(errBack)
-		case <-asking.Done():
-		}
-	}()
+	asking, cancel := endOn(ctx, errBack, back, nil)
+	defer cancel()
 	reply, err := r.ask(asking, call)
 	if err != nil && context.Cause(asking) == errBack { //nolint:errorlint // set above, never wrapped
 		return reply, errBack
--- a/internal/host/node/suspects.go
+++ b/internal/host/node/suspects.go
@@ -57,8 +57,8 @@
 			ctx, cancel := context.WithTimeout(context.Background(), spreadTimeout)
 			defer cancel()
 			reply, err := peer.Call[poison.Report](ctx, s.Directory, host, "breaks", report)
-			if err == nil && reply.Check() == nil && len(reply.Breaks) > 0 {
-				s.breaks.Merge(time.Now(), reply)
+			if err == nil && len(reply.Breaks) > 0 {
+				s.takeReport(ctx, reply)
 			}
 			return nil // a host that does not answer hears of the next crash
 		})
