--- a/internal/platform/rest/rest_test.go
+++ b/internal/platform/rest/rest_test.go
@@ -16,6 +16,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/standin/network"
 )
 
 func TestRest(t *testing.T) {
@@ -172,25 +174,12 @@
 	// Guards against calls that one after the other wait on idle connections that
 	// died together.
 	It("makes the next call over a new connection after one without an answer", func(ctx SpecContext) {
-		silent, over := make(chan struct{}), make(chan struct{})
-		var mu sync.Mutex
-		known := map[string]bool{}
-		server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-			mu.Lock()
-			dead := known[r.RemoteAddr]
-			known[r.RemoteAddr] = true
-			mu.Unlock()
-			select {
-			case <-silent:
-				if dead {
-					<-over
-				}
-			default:
-				time.Sleep(20 * time.Millisecond) // so that each call opens a connection
-			}
-		}))
+		way := &network.Forgetful{Next: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			time.Sleep(20 * time.Millisecond) // so that each call opens a connection
+		})}
+		server := httptest.NewServer(way)
 		defer server.Close()
-		defer close(over)
+		defer way.Close()
 		client := NewClient()
 		caller := Caller{Base: server.URL, HTTP: client, Renew: client.CloseIdleConnections}
 		call := func(limit time.Duration) error {
@@ -207,7 +196,7 @@
 			})
 		}
 		group.Wait()
-		close(silent)
+		way.Forget()
 		Expect(call(100 * time.Millisecond)).NotTo(Succeed())
 		Expect(call(time.Second)).To(Succeed())
 	})
