--- a/review/_stand/engine.go
+++ b/review/_stand/engine.go
@@ -16,9 +16,10 @@
 type Server struct {
 	Name, Service, Zone, Model string
 	Slots                      int
-	Events                     int                             // events of each text
-	Gap                        time.Duration                   // between two events
-	Work                       func(path string) time.Duration // of a plain request
+	Events                     int                               // events of each text
+	Gap                        time.Duration                     // between two events
+	Work                       func(path string) time.Duration   // of a plain request
+	Fails                      func(*http.Request) time.Duration // zero if a request doesn't fail
 	Store                      *Store
 	Rec                        *Record
 
@@ -157,6 +158,17 @@
 	defer s.Rec.end(run)
 	w.Header().Set("X-Sampler-Signature", fmt.Sprintf("%s.%s.%d", s.Name, id, run.number))
 	w.Header().Set("X-Sampler-Load", s.load())
+	if s.Fails != nil {
+		if after := s.Fails(r); after > 0 {
+			select {
+			case <-time.After(after):
+				s.Rec.finish(run)
+				w.WriteHeader(http.StatusInternalServerError)
+			case <-r.Context().Done():
+			}
+			return
+		}
+	}
 	if s.Model == "" {
 		select {
 		case <-time.After(s.Work(r.URL.Path)):
