--- a/review/_stand/case_parts.go
+++ b/review/_stand/case_parts.go
@@ -69,7 +69,7 @@
 			rec.logf("the store answers all writes again")
 		})
 	}
-	const batches = 6
+	const batches = 10
 	var group sync.WaitGroup
 	accepted := make([]*Batch, batches)
 	for i := range batches {
@@ -131,7 +131,7 @@
 		}
 	}
 	rec.logf("batch %s: %d of %d items listed, %d began to run, reading: %v", b.ID, len(listed), len(b.Items), ran, err)
-	return append(lostItems(rec, hosts, b, listed), changedItems(rec, b)...)
+	return append(lostItems(rec, hosts, b, listed), changedItems(rec, b, listed)...)
 }
 
 // submit submits a batch as a trainer does: again at another host after each failure.
@@ -195,7 +195,7 @@
 }
 
 // changedItems returns whether servers ran items with other bodies than the trainer's.
-func changedItems(rec *Record, b Batch) []string {
+func changedItems(rec *Record, b Batch, listed map[string]string) []string {
 	changed := 0
 	var first string
 	for _, item := range b.Items {
@@ -203,8 +203,8 @@
 			if run.bodySum == sum(item.Body) {
 				continue
 			}
-			rec.logf("item %s of batch %s: sent with body %s of %d bytes, run %d at %s read body %s of %d bytes; complete: %t",
-				item.ID, b.ID, sum(item.Body), len(item.Body), run.number, run.server, run.bodySum, run.bodyBytes, run.finished)
+			rec.logf("item %s of batch %s: sent with body %s of %d bytes, run %d at %s read body %s of %d bytes; the run ended: %t, listed as: %s",
+				item.ID, b.ID, sum(item.Body), len(item.Body), run.number, run.server, run.bodySum, run.bodyBytes, run.finished, listed[item.ID])
 			if changed++; changed == 1 {
 				first = fmt.Sprintf("item %s at %s", item.ID, run.server)
 			}
