Refuse what a stopping host may not finish, and answer what is in flight

Callers that keep their connection open lost requests: a host that had got SIGTERM passed a request on 3.2 s later and cut it at 7.3 s, with the process.

Cause: until 3.5 s after the signal every request was taken, however long it might take, and what was in flight at the end of the grace period was cut without a response.

Change: after 3 s a request whose deadline or timeout is beyond the end of the host's work is refused at once with 503 and has not run; at the end of the work each request in flight gets its final response (502 if it may have run). The margin for the exit is part of the grace period, so that short stops work too. The same cause elsewhere: a batch that was accepted for a host which had just begun to drain waited for the end of that process; it is given up at once now.

'takes the requests that end in time, ...' and 'is taken over at once if it was accepted for a host that drains' fail on the code before and pass now. The specs also check the neighbors that must be served: slow requests that end in time, quick ones late in the stop.

--- a/internal/entry/forward/run.go
+++ b/internal/entry/forward/run.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -56,8 +58,11 @@
 	OnRun    func(workspace string)
 	Suspects Suspects    // may be nil
 	Clock    lease.Clock // nil means lease.BootClock
-	Log      event.Log
-	Meter    *meter.Meter // may be nil
+	// Ending, if set, is closed when the host ends its work: requests in flight then get
+	// their final response.
+	Ending <-chan struct{}
+	Log    event.Log
+	Meter  *meter.Meter // may be nil
 
 	mu      sync.Mutex
 	budgets map[string]*attempt.Budget     // by route
@@ -68,16 +73,10 @@
 // the context's error if ctx has ended. In the last case, and if no time is left at the
 // start, the request is neither counted nor logged.
 func (f *Forwarder) Do(ctx context.Context, route policy.Route, request Request) (Response, error) {
-	timeLeft := request.TimeLeft
+	timeLeft := TimeAllowed(route, request)
 	if timeLeft < 0 {
 		return Response{}, &RefusedError{Reason: "no time left", RetryAfter: retryAfterFull}
 	}
-	if route.Timeout > 0 && (timeLeft <= 0 || route.Timeout < timeLeft) {
-		timeLeft = route.Timeout
-	}
-	if timeLeft <= 0 {
-		timeLeft = defaultTimeout
-	}
 	budget, delay := f.budgetOf(route.Name)
 	budget.CountRequest(time.Now())
 	bounded, cancel := context.WithTimeout(ctx, timeLeft-responseMargin)
@@ -100,9 +99,22 @@
 	return response, err
 }
 
+// TimeAllowed returns the longest time that a request may take from now on, by its
+// TimeLeft and the timeout of its route. It is negative if none is left.
+func TimeAllowed(route policy.Route, request Request) time.Duration {
+	timeLeft := request.TimeLeft
+	if route.Timeout > 0 && (timeLeft == 0 || route.Timeout < timeLeft) {
+		return route.Timeout
+	}
+	return cmp.Or(timeLeft, defaultTimeout)
+}
+
 // defaultTimeout bounds a request whose route and caller set no timeout.
 const defaultTimeout = 30 * time.Second
 
+// errEnding ends a request because its host ends.
+var errEnding = errors.New("the host ends")
+
 // now returns the time by Clock.
 func (f *Forwarder) now() time.Duration {
 	if f.Clock == nil {
@@ -181,6 +193,13 @@
 			}
 			r.lastErr = ctx.Err()
 			decision = r.apply(attempt.Event{Kind: attempt.EventExpire})
+		case <-r.Ending:
+			stop()
+			if response, ok := r.readyResponse(); ok {
+				return response, nil
+			}
+			r.lastErr = errEnding
+			decision = r.apply(attempt.Event{Kind: attempt.EventExpire})
 		}
 	}
 }
--- a/internal/entry/forward/send.go
+++ b/internal/entry/forward/send.go
@@ -89,6 +89,8 @@
 			return &RefusedError{Reason: "all servers of " + r.service + " are full", RetryAfter: retryAfterFull}
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-r.Ending:
+			return errEnding
 		}
 	}
 }
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -146,9 +146,18 @@
 	// drainDelay is how long a stopping host still accepts callers, until the load balancer
 	// has noticed: it checks readiness every second and needs two failed checks.
 	drainDelay = 3500 * time.Millisecond
-	// shutdownMargin is subtracted from Settings.ShutdownGrace, for the exit of the
-	// process.
-	shutdownMargin = 700 * time.Millisecond
+	// admitAllPeriod is how long a stopping host takes every request. A load balancer that
+	// checks readiness every second may send it new callers for that long.
+	admitAllPeriod = 3 * time.Second
+	// maxShutdownMargin and shutdownMarginShare, as a part of Settings.ShutdownGrace, bound
+	// the time that is left for the last responses and the exit of the process.
+	maxShutdownMargin   = 700 * time.Millisecond
+	shutdownMarginShare = 1.0 / 8
+	// lastResponsesShare is the part of that time for the responses to requests in flight.
+	lastResponsesShare = 0.5
+	// retryAfterStopping is the RetryAfter of a request that a stopping host refuses: any
+	// other host takes it at once.
+	retryAfterStopping = 50 * time.Millisecond
 )
 
 // leaseConfig has a short term: without a holder, orders and reports wait for a successor,
@@ -199,6 +208,9 @@
 	policy           atomic.Pointer[policy.Policy]
 	policyKnown      atomic.Int64 // time by clock at which the configuration was last known to be current
 	draining         atomic.Bool
+	drainingSince    atomic.Int64    // time by clock at which a planned stop began
+	ending           context.Context // ends when requests in flight get their final response
+	end              context.CancelFunc
 	policyStale      atomic.Bool   // as last logged by watchStaleness
 	startedAt        time.Duration // time by clock of New
 	dutyLost         atomic.Int64  // time by clock of the start or of the last loss of the duty
@@ -221,6 +233,7 @@
 func New(settings Settings, platform Platform, log event.Log) *Node {
 	n := &Node{Settings: settings, Platform: platform, Log: log, Incarnation: uint64(time.Now().UnixNano()), timeSource: lease.BootClock{}, hostsListed: make(chan struct{}), done: make(chan struct{}), retiredHosts: map[string]bool{}}
 	n.startedAt = n.clock()
+	n.ending, n.end = context.WithCancel(context.Background()) //nolint:gosec // shutDown calls it
 	n.outage.LossTimeout = outageLogDelay
 	n.Meter = meter.New()
 	n.Pool = &pool.Pool{Zone: settings.Zone}
@@ -241,7 +254,8 @@
 	n.crashes.IsRunning = func(s poison.Server) bool { return n.Pool.IsListed(s.Name, s.Boot) }
 	n.Forwarder = &forward.Forwarder{
 		Pool: n.Pool, Sender: platform.Sender, Suspects: suspects{n}, Log: n.Log, Meter: n.Meter,
-		OnRun: func(workspace string) { n.Tally.Count(n.wallClock.Now(), workspace) },
+		OnRun:  func(workspace string) { n.Tally.Count(n.wallClock.Now(), workspace) },
+		Ending: n.ending.Done(),
 	}
 	n.Batches = &batch.Batches{
 		Host: settings.Host, Incarnation: n.Incarnation, Store: n.store, Peers: peers{n.Directory},
--- a/internal/host/node/node_test.go
+++ b/internal/host/node/node_test.go
@@ -283,7 +283,7 @@
 		quiet := event.Log{Sink: func(event.Entry, []any) {}}
 		settings := Settings{
 			Host: "x", Zone: "z", Listen: "127.0.0.1:0", Ready: "127.0.0.1:0", Internal: "127.0.0.1:0", Metrics: "127.0.0.1:0",
-			RevocationLimit: 5 * time.Second, UsageWindow: time.Second, ShutdownGrace: shutdownMargin,
+			RevocationLimit: 5 * time.Second, UsageWindow: time.Second, ShutdownGrace: 700 * time.Millisecond,
 		}
 		for i := 0; ; i++ { // a name of a host that follows others
 			settings.Host = fmt.Sprintf("x%d", i)
--- a/internal/host/node/run.go
+++ b/internal/host/node/run.go
@@ -114,22 +114,3 @@
 	}
 	return l, nil
 }
-
-// shutDown stops the host. It keeps serving callers for drainDelay, while batches are handed
-// over and the duty is released, and then lets requests in flight finish until the end of the
-// grace period.
-func (n *Node) shutDown(ctx context.Context, front *http.Server) {
-	n.draining.Store(true)
-	n.Log.Emit(event.HostDraining)
-	ctx, cancel := context.WithTimeout(ctx, n.Settings.ShutdownGrace-shutdownMargin)
-	defer cancel()
-	var group sync.WaitGroup
-	group.Go(func() { n.Batches.Drain(ctx) })
-	group.Go(func() { _ = n.holder.Release(ctx) }) // if it fails, a successor takes over once the lease has expired
-	select {
-	case <-ctx.Done():
-	case <-time.After(drainDelay):
-	}
-	_ = front.Shutdown(ctx) // requests still in flight at the end of the grace period are cut off
-	group.Wait()
-}
--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -41,6 +41,7 @@
 	home          string          // first in rank for all batches; empty: the host that accepts one
 	noStarts      map[string]bool // hosts that receive no start message
 	sick          map[string]bool // hosts that report that they do not reach the store
+	claimsOpen    map[string]bool // hosts whose ping says that they accept batches, although they don't any more
 	partialsDelay time.Duration   // before a request for partial results is answered
 	noPartials    map[string]bool // hosts that never answer a request for partial results
 }
@@ -184,7 +185,7 @@
 	if b := p.batches(host); b != nil {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		return batch.HostStatus{Incarnation: b.Incarnation, Healthy: !p.sick[host], Open: b.AcceptsBatches()}, nil
+		return batch.HostStatus{Incarnation: b.Incarnation, Healthy: !p.sick[host], Open: b.AcceptsBatches() || p.claimsOpen[host]}, nil
 	}
 	return batch.HostStatus{}, errDead
 }
@@ -371,6 +372,17 @@
 		Eventually(func() []string { return s.listed("h3", "one") }, patience).Should(Equal([]string{"a1"}))
 	})
 
+	// A host chooses the home of a batch just before that host drains. Guards against a batch
+	// that waits for the end of its owner, which never starts it.
+	It("is taken over at once if it was accepted for a host that drains", func() {
+		s.home = "h1"
+		s.claimsOpen = map[string]bool{"h1": true}
+		go s.batches("h1").Drain(ctx)
+		Eventually(s.batches("h1").AcceptsBatches).Should(BeFalse())
+		accept("h2", submission("one", "a1"))
+		Eventually(func() []string { return s.listed("h3", "one") }, patience).Should(Equal([]string{"a1"}))
+	})
+
 	// Engines turn generations away while they load weights. Guards against long generations
 	// that were turned away and then wait behind the short ones of their step.
 	It("runs the generations that an engine turned away before shorter ones", func() {
--- a/internal/rollout/batch/objects.go
+++ b/internal/rollout/batch/objects.go
@@ -187,9 +187,12 @@
 }
 
 // pauseBeforeRetry waits before the next attempt of a failed call.
-func pauseBeforeRetry(ctx context.Context) {
+func pauseBeforeRetry(ctx context.Context) { pause(ctx, retryPause) }
+
+// pause waits for a time or until the context ends.
+func pause(ctx context.Context, wait time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(retryPause):
+	case <-time.After(wait):
 	}
 }
--- a/internal/rollout/batch/takeover.go
+++ b/internal/rollout/batch/takeover.go
@@ -39,6 +39,9 @@
 			return
 		case <-ticker.C:
 		}
+		for id, k := range b.ownedUnstarted() {
+			b.release(ctx, id, k)
+		}
 		open := b.openWithoutWorker(complete)
 		b.pingOwners(ctx, open, misses)
 		for id, k := range open {
@@ -157,7 +160,8 @@
 // Drain stops accepting batches, waits for drainGrace if RunningCount isn't zero, and then
 // removes this host as the owner from the records of the batches that have not ended, so
 // that other hosts take them over. A record that can't be updated is logged and left as it
-// is.
+// is. Batches that other hosts have accepted for this one meanwhile are handed over by
+// watchOwners.
 func (b *Batches) Drain(ctx context.Context) {
 	b.mu.Lock()
 	b.draining = true
@@ -166,24 +170,10 @@
 	if open == 0 {
 		return
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(drainGrace):
-	}
+	pause(ctx, drainGrace)
 	for id := range b.runningWorkers() {
 		from, _ := b.lookup(id)
-		record, version, err := b.storage().updateRecord(ctx, id, from, func(r *Record) bool {
-			if r.Ended || r.Owner != b.Host || r.Incarnation != b.Incarnation {
-				return false
-			}
-			r.PreviousOwner, r.Owner, r.Epoch = b.Host, "", r.Epoch+1
-			return true
-		})
-		if err != nil {
-			b.Log.Emit(event.OwnerNotifyFailed, "batch", id, "err", err.Error())
-			continue
-		}
-		b.applyRecord(id, record, version)
+		b.release(ctx, id, from)
 	}
 }
 
@@ -197,3 +187,34 @@
 	}
 	return all
 }
+
+// release removes this process as the owner from the record of a batch.
+func (b *Batches) release(ctx context.Context, id string, from known) {
+	record, version, err := b.storage().updateRecord(ctx, id, from, func(r *Record) bool {
+		if r.Ended || r.Owner != b.Host || r.Incarnation != b.Incarnation {
+			return false
+		}
+		r.PreviousOwner, r.Owner, r.Epoch = b.Host, "", r.Epoch+1
+		return true
+	})
+	if err != nil {
+		b.Log.Emit(event.OwnerNotifyFailed, "batch", id, "err", err.Error())
+		return
+	}
+	b.applyRecord(id, record, version)
+}
+
+// ownedUnstarted returns the batches that another host has accepted for this process since
+// it drains: their records name it as the owner, and it will not start them. It returns none
+// while this host accepts batches.
+func (b *Batches) ownedUnstarted() map[string]known {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := map[string]known{}
+	for id, k := range b.known {
+		if b.draining && !k.Ended && k.Owner == b.Host && k.Incarnation == b.Incarnation && b.workers[id] == nil {
+			all[id] = k
+		}
+	}
+	return all
+}
--- a/internal/site/event/site.go
+++ b/internal/site/event/site.go
@@ -20,6 +20,7 @@
 	LinesDropped
 	HostRetired
 	ServerLeaving
+	RequestsCut
 )
 
 func siteEvents() []Entry {
@@ -36,9 +37,10 @@
 		{ServerListed, Info, "backend server listed or changed", "The platform's server list changed.", "Nothing."},
 		{ServerRemoved, Info, "backend server removed", "The platform's server list no longer contains it.", "Nothing."},
 		{PlatformEntryIgnored, Warning, "invalid platform entry ignored", "It can't be decoded, or a field has an invalid value.", "Find out who writes the named entry."},
-		{RequestRefused, Info, "request refused on arrival", "No configuration, no route, no valid key, or stale store updates.", "Compare with the configuration version in the log line."},
+		{RequestRefused, Info, "request refused on arrival", "No configuration, no route, no valid key, stale store updates, or a host that stops before the request has to end.", "Compare with the configuration version in the log line."},
 		{LinesDropped, Warning, "log lines dropped", "The reader of standard output is too slow for the load.", "Use the metrics for that period instead."},
 		{HostRetired, Info, "host retirement confirmed", "An operator asked to empty the named host before its removal; hosts keep no durable data on disk.", "Nothing."},
 		{ServerLeaving, Info, "backend server leaving", "It announced this in a response; this host sends it no new requests until it restarts.", "Nothing."},
+		{RequestsCut, Warning, "requests cut by the end of the host", "Their responses could not be written before the process had to exit.", "Allow a longer planned stop if this repeats."},
 	}
 }
