Name the stored body of a batch by its digest

Trainers that submitted a large step again while the store lost answers had items run with bodies that nobody sent, listed as completed; with other names of services the accepted step never ran.

Cause: each attempt encodes the batch anew, with a service that was drawn again, and stores it in parts that are named by the batch's ID and their number. A part that exists counted as that of the same encoding, so that parts of two encodings were joined, and nothing checked the result.

Change: the digest of the encoding is part of the names of the parts and stands in the record, and what is read is checked against it. An attempt that finds the batch accepted with another encoding starts the stored one. Bodies of earlier versions are still read.

--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -4,7 +4,9 @@
 // Rules:
 //
 //  1. A batch is accepted when its record has been created in the store, after
-//     its body was written there. Nothing is acknowledged earlier.
+//     its body was written there. Nothing is acknowledged earlier. The record names
+//     the body by its digest: an attempt to submit a batch may leave parts behind,
+//     and the next one may encode the batch differently.
 //  2. Results are appended to the batch's log, a sequence of numbered objects
 //     that are each created once. A position is served to a reader only after
 //     the store has acknowledged it, so it never changes.
@@ -127,6 +129,7 @@
 	Tokens        int    `json:"tokens,omitempty"` // estimated number of tokens to generate
 	Total         int    `json:"total"`            // number of items
 	Parts         int    `json:"parts"`            // number of objects that hold the body
+	Body          string `json:"body,omitempty"`   // digest of the body, part of their keys
 	Submitted     int64  `json:"submitted"`
 	Owner         string `json:"owner"`
 	Incarnation   uint64 `json:"incarnation"`
--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -1,6 +1,7 @@
 package batch_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -48,7 +49,7 @@
 
 func newSite(ctx context.Context, hosts ...string) *site {
 	s := &site{
-		ctx: ctx, store: &objects.Store{}, gen: &engine{hold: map[string]chan struct{}{}, runs: map[string][]int{}, servers: map[string]string{}},
+		ctx: ctx, store: &objects.Store{}, gen: &engine{hold: map[string]chan struct{}{}, runs: map[string][]int{}, bodies: map[string][]string{}, servers: map[string]string{}},
 		batchesByHost: map[string]*batch.Batches{}, cancels: map[string]context.CancelFunc{}, dead: map[string]bool{},
 	}
 	for _, host := range hosts {
@@ -174,7 +175,10 @@
 
 func (p *peers) Start(_ context.Context, host string, request batch.StartRequest) error {
 	b := p.batches(host)
-	if b == nil || p.noStarts[host] {
+	p.mu.Lock()
+	noStarts := p.noStarts[host]
+	p.mu.Unlock()
+	if b == nil || noStarts {
 		return errDead
 	}
 	b.ServeStart(request)
@@ -206,15 +210,16 @@
 	mu             sync.Mutex
 	hold           map[string]chan struct{}
 	fail           map[string]*batch.FailedRunError
-	refuse         map[string]int    // number of runs that the engine turns away, by item
-	servers        map[string]string // of the latest run, by item
-	refusal        chan struct{}     // until it is closed, such runs wait to be turned away
-	stopDelay      time.Duration     // from the end of a run's context to that of the run
-	cut            map[string]int    // number of events after which the stream breaks off, once
-	version        uint64            // weights version that runs start with, 5 if zero
-	runs           map[string][]int  // number of resumed events of each run, by item
-	scores         int               // calls of the scorer
-	scorerFailures int               // number of scorer calls that still fail
+	refuse         map[string]int      // number of runs that the engine turns away, by item
+	servers        map[string]string   // of the latest run, by item
+	refusal        chan struct{}       // until it is closed, such runs wait to be turned away
+	stopDelay      time.Duration       // from the end of a run's context to that of the run
+	cut            map[string]int      // number of events after which the stream breaks off, once
+	version        uint64              // weights version that runs start with, 5 if zero
+	runs           map[string][]int    // number of resumed events of each run, by item
+	bodies         map[string][]string // of each run, by item
+	scores         int                 // calls of the scorer
+	scorerFailures int                 // number of scorer calls that still fail
 }
 
 const events = 3
@@ -258,6 +263,7 @@
 	defer e.mu.Unlock()
 	e.servers[request.ID] = server.Name
 	e.runs[request.ID] = append(e.runs[request.ID], request.ResumeAfter)
+	e.bodies[request.ID] = append(e.bodies[request.ID], string(request.Body))
 	if e.refuse[request.ID] == 0 {
 		return false
 	}
@@ -372,6 +378,66 @@
 		Eventually(func() []string { return s.listed("h3", "one") }, patience).Should(Equal([]string{"a1"}))
 	})
 
+	// The store loses the answers to some writes, and the trainer submits a large batch again.
+	// The next host encodes it differently, as after a change of the configuration. Guards
+	// against a stored body that mixes parts of both encodings.
+	It("runs with the submitted bodies after an attempt that wrote some of its parts", func() {
+		one := submission("one", "a1", "a2", "b1")
+		for i := range one.Items {
+			one.Items[i].Body = bytes.Repeat([]byte(one.Items[i].ID+";"), 200_000)
+			s.gen.hold[one.Items[i].ID] = make(chan struct{})
+		}
+		earlier := one
+		earlier.Route = "a longer name" // moves all bytes of the encoding
+		writes := 0
+		s.store.Inject(func(op, key string) objects.Fault {
+			if op == "put" && strings.HasPrefix(key, batch.BodyPrefix) {
+				if writes++; writes > 2 {
+					return objects.Down
+				}
+			}
+			return objects.None
+		})
+		var unavailable *batch.UnavailableError
+		Expect(errors.As(s.batches("h1").Accept(ctx, earlier), &unavailable)).To(BeTrue())
+		s.store.Inject(nil)
+		accept("h2", one)
+		s.kill("h2") // the next owner reads the batch from the store
+		for _, item := range one.Items {
+			body, err := s.batches("h3").Body(ctx, "one", "w", item.ID)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(body) == string(item.Body)).To(BeTrue(), "stored body of %s", item.ID)
+			close(s.gen.hold[item.ID])
+		}
+		Eventually(func() []string { return s.listed("h3", "one") }, patience).Should(ConsistOf("a1", "a2", "b1"))
+		s.gen.mu.Lock()
+		defer s.gen.mu.Unlock()
+		for _, item := range one.Items {
+			for _, body := range s.gen.bodies[item.ID] {
+				Expect(body == string(item.Body)).To(BeTrue(), "body of a run of %s", item.ID)
+			}
+		}
+	})
+
+	// The answer to an acceptance is lost, and another host encodes the batch differently.
+	// Guards against a batch that runs as another attempt than the stored one described it.
+	It("runs as it is stored when an attempt with another encoding finds it accepted", func() {
+		s.home, s.noStarts = "h1", map[string]bool{"h1": true}
+		one := submission("one", "a1")
+		accept("h2", one)
+		s.mu.Lock()
+		s.noStarts = nil
+		s.mu.Unlock()
+		later := submission("one", "a1")
+		later.Items[0].Body = []byte("another encoding")
+		s.batches("h3").ApplyChange(object.Change{Batch: object.Batch{Objects: []object.Object{{Key: batch.RecordPrefix + "one", Deleted: true}}}})
+		accept("h3", later)
+		Eventually(func() []string { return s.listed("h3", "one") }, patience).Should(Equal([]string{"a1"}))
+		s.gen.mu.Lock()
+		defer s.gen.mu.Unlock()
+		Expect(s.gen.bodies["a1"]).To(HaveEach("body of a1"))
+	})
+
 	// A host chooses the home of a batch just before that host drains. Guards against a batch
 	// that waits for the end of its owner, which never starts it.
 	It("is taken over at once if it was accepted for a host that drains", func() {
--- a/internal/rollout/batch/commands.go
+++ b/internal/rollout/batch/commands.go
@@ -25,17 +25,17 @@
 	if !b.AcceptsBatches() {
 		return &UnavailableError{Err: errNotAccepting, RetryAfter: retryAfterDraining}
 	}
-	parts, err := splitParts(batch)
+	body, err := encodeBody(batch)
 	if err != nil {
 		return &UnavailableError{Err: err, RetryAfter: b.RetryAfter()}
 	}
-	if err := b.storage().writeBody(ctx, batch.ID, parts); err != nil {
+	if err := b.storage().writeBody(ctx, batch.ID, body); err != nil {
 		return &UnavailableError{Err: err, RetryAfter: b.RetryAfter()} // a body without a record is never run
 	}
 	owner, incarnation := b.chooseOwner(ctx, batch)
 	record := Record{
 		Workspace: batch.Workspace, Route: batch.Route, Model: batch.Model, MinVersion: batch.MinVersion, Step: batch.Step,
-		Tokens: batch.Tokens(), Total: len(batch.Items), Parts: len(parts),
+		Tokens: batch.Tokens(), Total: len(batch.Items), Parts: len(body.parts), Body: body.digest,
 		Submitted: time.Now().UnixMilli(), Owner: owner, Incarnation: incarnation, Epoch: 1,
 	}
 	return b.create(ctx, batch, record)
@@ -67,7 +67,7 @@
 			b.startAtOwner(batch, record, stored.Version) //nolint:contextcheck // the batch outlives the call
 			return nil
 		case isConflict(err):
-			return b.acceptExisting(ctx, batch)
+			return b.acceptExisting(ctx, batch, record.Body)
 		case isUnknown(err):
 			uncertain = true
 		case !uncertain:
@@ -82,16 +82,26 @@
 
 // acceptExisting completes an acceptance whose record already exists. This host created
 // it if the answer to its write was lost, else another host did. The batch is started at
-// its first owner, unless it has ended or was taken over.
-func (b *Batches) acceptExisting(ctx context.Context, batch Batch) error {
+// its first owner, unless it has ended or was taken over. What runs is the body that the
+// record names; digest is that of this attempt.
+func (b *Batches) acceptExisting(ctx context.Context, batch Batch, digest string) error {
 	record, version, err := b.storage().record(ctx, batch.ID)
 	if err != nil {
 		return &OutcomeUnknownError{Err: err}
 	}
 	b.applyRecord(batch.ID, record, version)
-	if record.Epoch == 1 && !record.Ended { // a later owner starts the batch when it takes it over
-		b.startAtOwner(batch, record, version) //nolint:contextcheck // the batch outlives the call
+	if record.Epoch != 1 || record.Ended {
+		return nil // a later owner starts the batch when it takes it over
+	}
+	if record.Body != digest {
+		stored, err := b.storage().body(ctx, batch.ID, record)
+		if err != nil {
+			b.Log.Emit(event.BatchUnreadable, "batch", batch.ID, "err", err.Error())
+			return nil // accepted all the same: its owner finds it by its watch
+		}
+		batch = stored
 	}
+	b.startAtOwner(batch, record, version) //nolint:contextcheck // the batch outlives the call
 	return nil
 }
 
--- a/internal/rollout/batch/objects.go
+++ b/internal/rollout/batch/objects.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -25,7 +27,14 @@
 	store object.Store
 }
 
-func bodyKey(id string, part int) string { return fmt.Sprintf("%s%s.%d", BodyPrefix, id, part) }
+// bodyKey returns the key of a part of a body. The digest is empty for a body of an earlier
+// version of this program.
+func bodyKey(id, digest string, part int) string {
+	if digest == "" {
+		return fmt.Sprintf("%s%s.%d", BodyPrefix, id, part)
+	}
+	return fmt.Sprintf("%s%s.%s.%d", BodyPrefix, id, digest, part)
+}
 
 func logKey(id string, chunk int) string      { return fmt.Sprintf("%s%s/%05d", LogPrefix, id, chunk) }
 func isNotFound(err error) bool               { return isError[*object.NotFoundError](err) }
@@ -47,31 +56,45 @@
 	return l.store.Put(ctx, key, value, expect)
 }
 
-// splitParts encodes a value and splits it into parts that fit into objects of the store.
-// Each part is a JSON string with base64 data.
-func splitParts[T any](value T) ([][]byte, error) {
-	raw, err := encode(value)
+// encodedBody is a batch as it is stored. Each part is a JSON string with base64 data that
+// fits into one object of the store.
+type encodedBody struct {
+	digest string // of the encoding before it was split, see digestOf
+	parts  [][]byte
+}
+
+// encodeBody encodes a batch. Two attempts to submit the same batch may give different
+// encodings: the configuration or the program may have changed between them.
+func encodeBody(batch Batch) (encodedBody, error) {
+	raw, err := encode(batch)
 	if err != nil {
-		return nil, err
+		return encodedBody{}, err
 	}
-	var parts [][]byte
+	body := encodedBody{digest: digestOf(raw)}
 	for len(raw) > 0 {
 		n := min(len(raw), maxPartBytes)
 		part, err := encode(raw[:n])
 		if err != nil {
-			return nil, err
+			return encodedBody{}, err
 		}
-		parts = append(parts, part)
+		body.parts = append(body.parts, part)
 		raw = raw[n:]
 	}
-	return parts, nil
+	return body, nil
 }
 
-// writeBody writes the parts of a body. An existing part was written by an earlier attempt
-// with the same batch.
-func (l storage) writeBody(ctx context.Context, id string, parts [][]byte) error {
-	for i, part := range parts {
-		if err := l.create(ctx, bodyKey(id, i), part); err != nil {
+// digestOf returns the digest that names an encoded body: half of its SHA-256, in
+// hexadecimal.
+func digestOf(raw []byte) string {
+	sum := sha256.Sum256(raw)
+	return hex.EncodeToString(sum[:sha256.Size/2])
+}
+
+// writeBody writes the parts of a body. Their keys contain the digest, so that an existing
+// part was written by an earlier attempt with the same encoding.
+func (l storage) writeBody(ctx context.Context, id string, body encodedBody) error {
+	for i, part := range body.parts {
+		if err := l.create(ctx, bodyKey(id, body.digest, i), part); err != nil {
 			return err
 		}
 	}
@@ -92,11 +115,12 @@
 	}
 }
 
-// body reads and decodes a batch from the parts of its body.
-func (l storage) body(ctx context.Context, id string, parts int) (Batch, error) {
+// body reads and decodes the batch that a record names. The error is a *BodyError if the
+// parts are not those of one encoding.
+func (l storage) body(ctx context.Context, id string, record Record) (Batch, error) {
 	var raw []byte
-	for i := range parts {
-		found, err := l.get(ctx, bodyKey(id, i))
+	for i := range record.Parts {
+		found, err := l.get(ctx, bodyKey(id, record.Body, i))
 		if err != nil {
 			return Batch{}, err
 		}
@@ -106,9 +130,22 @@
 		}
 		raw = append(raw, part...)
 	}
+	if found := digestOf(raw); record.Body != "" && found != record.Body {
+		return Batch{}, &BodyError{ID: id, Want: record.Body, Found: found}
+	}
 	return decode[Batch](raw)
 }
 
+// BodyError says that the stored body of a batch does not have the digest in its record.
+type BodyError struct {
+	ID          string
+	Want, Found string
+}
+
+func (e *BodyError) Error() string {
+	return fmt.Sprintf("body of batch %s has digest %s instead of %s", e.ID, e.Found, e.Want)
+}
+
 // record reads a batch's record and its version.
 func (l storage) record(ctx context.Context, id string) (Record, uint64, error) {
 	found, err := l.get(ctx, RecordPrefix+id)
--- a/internal/rollout/batch/queries.go
+++ b/internal/rollout/batch/queries.go
@@ -195,7 +195,7 @@
 	if reply.Owned {
 		return nil, &NotFoundError{ID: item}
 	}
-	batch, err := b.storage().body(ctx, id, record.Parts)
+	batch, err := b.storage().body(ctx, id, record)
 	if err != nil {
 		return nil, &UnavailableError{Err: err, RetryAfter: retryPause}
 	}
--- a/internal/rollout/batch/takeover.go
+++ b/internal/rollout/batch/takeover.go
@@ -131,7 +131,7 @@
 	if len(log) >= k.Total {
 		return true
 	}
-	batch, err := b.storage().body(ctx, id, k.Parts)
+	batch, err := b.storage().body(ctx, id, k.Record)
 	if err != nil {
 		b.Log.Emit(event.BatchUnreadable, "batch", id, "err", err.Error())
 		return false
--- a/internal/site/policy/policy.go
+++ b/internal/site/policy/policy.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
 )
 
@@ -145,6 +147,13 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
+// ServiceOf returns the service for a batch, by the targets' weights. It follows from the
+// batch's ID, so that each attempt to submit the batch gets the same one.
+func (r Route) ServiceOf(batchID string) string {
+	const bits = 53 // of a float64 without rounding
+	return r.ChooseService(float64(xxhash.Sum64String(batchID)>>(64-bits)) / (1 << bits))
+}
+
 // Rules returns the access rules for the gate. All workspaces share one grace period,
 // the time for which a host admits keys without an update from the store.
 func (p *Policy) Rules(grace time.Duration) gate.Rules {
