Count sends to servers that crash without a sign, and try convicted requests again

A request that silenced each server which ran it was never refused and took its service down for as long as the caller repeated it.

Cause: a send counted as broken only if the connection failed in another way than by this host's own time-out, which is how every send to a silent server ends.

Change: a send that is given up and whose request nobody has answered is followed by a health check; a server that answers is only slow. A send in flight counts when its server restarts or is gone, and several of one request in flight for a second are checked at once.

'is refused after it has silenced three servers, ...' fails on the code before; its neighbor 'is sent again and again while its servers are only slow' passes on both.

--- a/internal/backend/pool/commands.go
+++ b/internal/backend/pool/commands.go
@@ -47,7 +47,7 @@
 	if p.leaving == nil {
 		p.leaving = map[instance]struct{}{}
 	}
-	p.pruneLeaving()
+	p.prune(p.leaving)
 	p.leaving[s.instance()] = struct{}{}
 	if e := p.current(s.instance()); e != nil {
 		e.Draining = true
@@ -55,15 +55,14 @@
 	return true
 }
 
-// pruneLeaving removes leaving instances that are no longer listed once maxLeaving
-// are recorded.
-func (p *Pool) pruneLeaving() {
-	if len(p.leaving) < maxLeaving {
+// prune removes instances that are no longer listed once maxLeaving are recorded.
+func (p *Pool) prune(instances map[instance]struct{}) {
+	if len(instances) < maxLeaving {
 		return
 	}
-	for left := range p.leaving {
+	for left := range instances {
 		if p.current(left) == nil {
-			delete(p.leaving, left)
+			delete(instances, left)
 		}
 	}
 }
@@ -85,6 +84,13 @@
 // entry unless the server has restarted or moved to another address. The listed
 // weights versions replace the known ones, also if they are older.
 func (p *Pool) merge(old *entry, s Server) *entry {
+	if s.Draining {
+		if p.drained == nil {
+			p.drained = map[instance]struct{}{}
+		}
+		p.prune(p.drained)
+		p.drained[s.instance()] = struct{}{}
+	}
 	if _, left := p.leaving[s.instance()]; left {
 		s.Draining = true
 	}
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -42,7 +42,7 @@
 	maxBackoff       = 3 * time.Second        // a crashed server restarts within a few seconds
 	prefixTTL        = 8 * time.Second        // how long a sent prefix is assumed to be cached; about two training steps
 	maxPrefixes      = 512                    // prefixes of a server at which expired ones are removed
-	maxLeaving       = 8192                   // leaving instances at which unlisted ones are removed; twice the servers of the largest site
+	maxLeaving       = 8192                   // leaving or drained instances at which unlisted ones are removed; twice the servers of the largest site
 	slownessPenalty  = 3                      // for a request of longGeneration tokens on a server that takes twice as long
 	longGeneration   = 8000                   // tokens of a long generation; about six seconds of work
 	intervalWeight   = 0.3                    // weight of the newest sample in the average event interval
@@ -96,6 +96,7 @@
 	mu      sync.Mutex
 	servers map[string]*entry
 	leaving map[instance]struct{} // instances that announced in a response that they leave
+	drained map[instance]struct{} // instances that were listed as draining
 	hasList bool
 	changed chan struct{}
 }
@@ -170,6 +171,16 @@
 	return p.current(instance{name, boot}) != nil
 }
 
+// HasAnnouncedLeaving reports whether this start of a server was listed as draining or
+// announced in a response that it leaves. It may be gone by now.
+func (p *Pool) HasAnnouncedLeaving(name string, boot int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, left := p.leaving[instance{name, boot}]
+	_, drained := p.drained[instance{name, boot}]
+	return left || drained
+}
+
 // current returns the entry of an instance, or nil if the instance is not the one
 // listed. The caller holds the lock.
 func (p *Pool) current(s instance) *entry {
--- a/internal/entry/forward/result.go
+++ b/internal/entry/forward/result.go
@@ -24,6 +24,7 @@
 	choice    *pool.Choice
 	response  Response
 	err       error
+	began     time.Time
 	took      time.Duration
 }
 
@@ -42,22 +43,31 @@
 	}
 }
 
-// updateSuspects records the end of a send that was not refused. A broken
-// connection is recorded unless this host caused it by a timeout or cancellation.
+// minSilence is the least time without a response after which a send that this host gave up
+// may concern a server that has crashed.
+const minSilence = 100 * time.Millisecond
+
+// updateSuspects records the end of a send that was not refused.
 func (r *run) updateSuspects(got result) {
 	broken, _ := errors.AsType[*BrokenError](got.err)
+	server := got.choice.Server
 	switch {
-	case r.Suspects == nil:
+	case !r.suspectable():
 	case got.err == nil:
 		r.Suspects.RecordResponse(r.fingerprint)
-	case broken != nil && broken.Err != nil && !errors.Is(got.err, context.Canceled) && !errors.Is(got.err, context.DeadlineExceeded):
-		server := got.choice.Server
-		r.Suspects.RecordBroken(r.fingerprint, poison.Server{Name: server.Name, Boot: server.Boot})
+	case broken == nil || broken.Err == nil: // refused, or answered with an invalid response
+	case !errors.Is(got.err, context.Canceled) && !errors.Is(got.err, context.DeadlineExceeded):
+		r.Suspects.RecordBroken(r.fingerprint, poison.Server{Name: server.Name, Boot: server.Boot}, got.began)
 		r.Log.Emit(event.SendBroken, "request", r.request.ID, "route", r.route.Name, "server", server.Name,
-			"boot", server.Boot, "sends", len(r.sentTo), "err", got.err.Error())
+			"boot", server.Boot, "sends", got.attemptID, "err", got.err.Error())
+	case !r.answered.Load() && got.took >= minSilence:
+		r.Suspects.RecordSilent(r.fingerprint, got.choice, got.began)
 	}
 }
 
+// suspectable reports whether the request may be suspected of crashing servers.
+func (r *run) suspectable() bool { return r.Suspects != nil }
+
 // handleResult processes the end of an attempt. It returns the response that ends
 // the request and true, or sets the decision that follows.
 func (r *run) handleResult(ctx context.Context, got result, decision *attempt.Decision) (Response, bool) {
@@ -68,7 +78,6 @@
 		got.choice.RecordLoad(now, *load)
 	}
 	notRun, refused := errors.AsType[*NotRunError](got.err)
-	r.updateSuspects(got)
 	switch {
 	case refused:
 		*decision = r.handleRefusal(ctx, got, notRun)
@@ -90,6 +99,7 @@
 
 // endWith ends the request with the response of an attempt.
 func (r *run) endWith(got result) Response {
+	r.answered.Store(true)
 	r.countRun()
 	got.choice.RecordSuccess()
 	r.delay.Add(got.took)
--- a/internal/entry/forward/run.go
+++ b/internal/entry/forward/run.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
@@ -40,10 +41,17 @@
 
 // Suspects detects requests that crash servers.
 type Suspects interface {
-	// Admit returns nil when a request may be sent now.
+	// Check returns nil when a request may be sent now.
+	Check(fp poison.Fingerprint) *poison.ConvictedError
+	// Admit is called once before each send. It returns nil when the request may be sent.
 	Admit(fp poison.Fingerprint) *poison.ConvictedError
+	// Begin records a send in flight. The caller calls end when it has ended.
+	Begin(fp poison.Fingerprint, server poison.Server) (end func())
 	// RecordBroken records a send whose connection the server broke.
-	RecordBroken(fp poison.Fingerprint, server poison.Server)
+	RecordBroken(fp poison.Fingerprint, server poison.Server, began time.Time)
+	// RecordSilent records a send that this host gave up, and whose request nobody has
+	// answered. The server may have crashed without a sign, or may only be slow.
+	RecordSilent(fp poison.Fingerprint, choice *pool.Choice, began time.Time)
 	// RecordResponse records a complete response.
 	RecordResponse(fp poison.Fingerprint)
 }
@@ -155,6 +163,7 @@
 	sentTo        []string                   // server of each attempt, in order
 	outcomes      []string                   // outcome of each ended attempt, in order
 	refusals      int
+	answered      atomic.Bool
 	lastErr       error     // why the latest attempt failed
 	serverFailure *Response // the latest 5xx response, returned when no attempt succeeds
 }
--- a/internal/entry/forward/send.go
+++ b/internal/entry/forward/send.go
@@ -64,16 +64,16 @@
 	defer timer.Stop()
 	for {
 		if convicted := r.convicted(); convicted != nil {
-			r.Log.Emit(event.PoisonConvicted, "request", r.request.ID, "route", r.route.Name,
-				"workspace", r.request.Workspace, "sends", len(r.sentTo), "ms", convicted.RetryAfter.Milliseconds())
-			return &RefusedError{Reason: convicted.Error(), RetryAfter: convicted.RetryAfter}
+			return r.refuseConvicted(convicted)
 		}
 		if r.isOver() {
 			return context.DeadlineExceeded
 		}
 		changed := r.Pool.Changed()
 		if choice, ok := r.Pool.Pick(time.Now(), r.need()); ok {
-			r.startAttempt(ctx, choice)
+			if convicted := r.startAttempt(ctx, choice); convicted != nil {
+				return r.refuseConvicted(convicted)
+			}
 			return nil
 		}
 		if len(r.avoid) > 0 {
@@ -98,10 +98,17 @@
 // convicted returns an error if the request may not be sent because it crashes
 // servers.
 func (r *run) convicted() *poison.ConvictedError {
-	if r.Suspects == nil {
+	if !r.suspectable() {
 		return nil
 	}
-	return r.Suspects.Admit(r.fingerprint)
+	return r.Suspects.Check(r.fingerprint)
+}
+
+// refuseConvicted logs and returns the refusal of a convicted request.
+func (r *run) refuseConvicted(convicted *poison.ConvictedError) error {
+	r.Log.Emit(event.PoisonConvicted, "request", r.request.ID, "route", r.route.Name,
+		"workspace", r.request.Workspace, "sends", len(r.sentTo), "ms", convicted.RetryAfter.Milliseconds())
+	return &RefusedError{Reason: convicted.Error(), RetryAfter: convicted.RetryAfter}
 }
 
 // isOver reports whether it is too late for another send. The context's timer is
@@ -120,13 +127,22 @@
 		return
 	}
 	if choice, ok := r.Pool.Pick(time.Now(), r.need()); ok {
-		r.startAttempt(ctx, choice)
+		_ = r.startAttempt(ctx, choice) // a convicted request gets no hedge
 	}
 }
 
 // startAttempt sends the request to the chosen server in a goroutine of its own,
-// which puts the outcome into results.
-func (r *run) startAttempt(ctx context.Context, choice *pool.Choice) {
+// which puts the outcome into results. It returns an error, and sends nothing, if the request
+// is convicted.
+func (r *run) startAttempt(ctx context.Context, choice *pool.Choice) *poison.ConvictedError {
+	endSuspicion := func() {}
+	if r.suspectable() {
+		if convicted := r.Suspects.Admit(r.fingerprint); convicted != nil {
+			choice.Release()
+			return convicted
+		}
+		endSuspicion = r.Suspects.Begin(r.fingerprint, poison.Server{Name: choice.Server.Name, Boot: choice.Server.Boot})
+	}
 	newConnection := !r.state.Idempotent && slices.Contains(r.sentTo, choice.Server.Name)
 	r.sentTo = append(r.sentTo, choice.Server.Name)
 	attemptID := len(r.sentTo)
@@ -151,6 +167,10 @@
 			choice.KeepConnection()
 		}
 		choice.Release()
-		r.results <- result{attemptID, choice, response, err, time.Since(sentAt)}
+		endSuspicion()
+		ended := result{attemptID, choice, response, err, sentAt, time.Since(sentAt)}
+		r.updateSuspects(ended) // also if the request has ended before
+		r.results <- ended
 	}()
+	return nil
 }
--- a/internal/entry/poison/poison.go
+++ b/internal/entry/poison/poison.go
@@ -101,7 +101,7 @@
 // have run in its earlier sends, but was not sent this time.
 type ConvictedError struct {
 	// RetryAfter is the time until the conviction expires or the latest broken send
-	// is decided.
+	// is decided, with a CrashCounter also until the next trial.
 	RetryAfter time.Duration
 }
 
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
 	"github.com/hyssopwall/hyssopwall/internal/billing/tally"
 	"github.com/hyssopwall/hyssopwall/internal/entry/forward"
@@ -74,9 +76,12 @@
 	DecodePolicy  func(value []byte) (*policy.Policy, error)
 	DecodeServer  func(name string, value []byte) (pool.Server, error)
 	DecodeRelease func(value []byte) (model string, version uint64, err error)
-	Sender        forward.Sender  // sends plain requests to backend servers
-	Engine        batch.Engine    // generates texts on engines
-	Engines       release.Engines // orders engines to load weights
+	Sender        forward.Sender // sends plain requests to backend servers
+	// CheckHealth sends a health check to a server over a new connection. It returns nil
+	// once the server answers, with any status.
+	CheckHealth func(ctx context.Context, server pool.Server, path string) error
+	Engine      batch.Engine    // generates texts on engines
+	Engines     release.Engines // orders engines to load weights
 	// ReportUsage reports the request counts of a usage window by workspace. The grant
 	// proves that this host holds ControlDuty.
 	ReportUsage func(ctx context.Context, window int64, counts tally.Counts, grant lease.Grant) error
@@ -199,6 +204,7 @@
 
 	store            object.Store
 	crashes          poison.CrashCounter // crashes of servers, by request
+	healthChecks     singleflight.Group  // of servers, by name and boot
 	health           peer.StoreHealth
 	outage           object.OutageDetector
 	mirrors          map[string]*peer.Mirror // mirrors of store prefixes, by prefix
@@ -251,7 +257,7 @@
 	} {
 		n.mirrors[prefix] = &peer.Mirror{Now: n.clock, MaxUpdateAge: wait + mirrorSilenceMargin}
 	}
-	n.crashes.IsRunning = func(s poison.Server) bool { return n.Pool.IsListed(s.Name, s.Boot) }
+	n.crashes.IsRunning = n.isRunning
 	n.Forwarder = &forward.Forwarder{
 		Pool: n.Pool, Sender: platform.Sender, Suspects: suspects{n}, Log: n.Log, Meter: n.Meter,
 		OnRun:  func(workspace string) { n.Tally.Count(n.wallClock.Now(), workspace) },
--- a/internal/host/node/node_test.go
+++ b/internal/host/node/node_test.go
@@ -35,6 +35,7 @@
 func memoryPlatform(store *objects.Store) Platform {
 	return Platform{
 		Store: store, Watcher: func(time.Duration) object.Store { return store }, Keys: keys,
+		CheckHealth: func(context.Context, pool.Server, string) error { return errors.New("silent") },
 		DecodePolicy: func(raw []byte) (*policy.Policy, error) {
 			p := &policy.Policy{}
 			return p, json.Unmarshal(raw, p)
--- a/internal/host/node/run.go
+++ b/internal/host/node/run.go
@@ -69,6 +69,7 @@
 		func() { n.followWhileHolder(ctx, keys.Retirements, n.retirementsHandler(ctx)) },
 		func() { n.watchStaleness(ctx) },
 		func() { n.fetchSuspects(ctx) },
+		func() { runEvery(ctx, silenceCheckInterval, n.checkSilentSends) },
 	}
 }
 
--- a/internal/host/node/servers.go
+++ b/internal/host/node/servers.go
@@ -16,6 +16,7 @@
 
 // applyServersChange applies a change of the platform's list of backend servers.
 func (n *Node) applyServersChange(change object.Change) {
+	defer n.recordGoneServers()
 	if change.Complete {
 		n.replaceServerList(change)
 		return
@@ -84,6 +85,7 @@
 		switch {
 		case absent:
 			n.Pool.Remove(server.Name)
+			n.recordGoneServers()
 			n.Log.Emit(event.ServerRemoved, "server", server.Name, "err", err.Error())
 		case err != nil: // the store can't be read
 			n.removeAfterGrace(server)
--- a/internal/host/node/suspects.go
+++ b/internal/host/node/suspects.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
 	"github.com/hyssopwall/hyssopwall/internal/entry/poison"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/peer"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
 )
 
 const (
@@ -22,6 +25,13 @@
 	// round, and suspectRetryInterval the pause between rounds until one host responds.
 	maxSuspectSources    = 3
 	suspectRetryInterval = 200 * time.Millisecond
+	// healthCheckTimeout is how long a health check waits for the answer of a server.
+	healthCheckTimeout = time.Second
+	// silenceCheckInterval is how often the sends in flight are checked.
+	silenceCheckInterval = 500 * time.Millisecond
+	// restartNotice is the time within which the list of servers shows that a server has
+	// restarted, after its next process has answered a health check.
+	restartNotice = time.Second
 )
 
 // suspects implements forward.Suspects: it counts the crashes of servers by request. It
@@ -31,14 +41,104 @@
 	*Node
 }
 
+// Check implements forward.Suspects.
+func (s suspects) Check(fp poison.Fingerprint) *poison.ConvictedError {
+	return s.crashes.Check(time.Now(), fp)
+}
+
 // Admit implements forward.Suspects.
 func (s suspects) Admit(fp poison.Fingerprint) *poison.ConvictedError {
-	return s.crashes.Admit(time.Now(), fp)
+	trial, refused := s.crashes.Admit(time.Now(), fp)
+	if trial != nil {
+		go s.broadcast(*trial)
+	}
+	return refused
+}
+
+// Begin implements forward.Suspects.
+func (s suspects) Begin(fp poison.Fingerprint, server poison.Server) (end func()) {
+	return s.crashes.Begin(time.Now(), fp, server)
+}
+
+// RecordSilent implements forward.Suspects. A server that answers a health check is only slow,
+// unless it has just restarted.
+func (s suspects) RecordSilent(fp poison.Fingerprint, choice *pool.Choice, began time.Time) {
+	go func() {
+		if s.hasCrashed(choice.Server) {
+			choice.RecordFailure(time.Now())
+			s.RecordBroken(fp, poison.Server{Name: choice.Server.Name, Boot: choice.Server.Boot}, began)
+		}
+	}()
+}
+
+// checkSilentSends records the sends in flight that poison.CrashCounter.Silent returns and
+// whose servers seem to have crashed.
+func (n *Node) checkSilentSends() {
+	for _, send := range n.crashes.Silent(time.Now()) {
+		for _, server := range n.Pool.Servers() {
+			if server.Name == send.Server.Name && server.Boot == send.Server.Boot {
+				go func() {
+					if n.hasCrashed(server) {
+						suspects{n}.RecordBroken(send.Request, send.Server, send.Began)
+					}
+				}()
+			}
+		}
+	}
+}
+
+// hasCrashed reports whether a server answers no health check, or restarts. It takes up to
+// healthCheckTimeout or restartNotice.
+func (n *Node) hasCrashed(server pool.Server) bool {
+	if n.answersHealthCheck(server) {
+		time.Sleep(restartNotice)
+		if n.isRunning(poison.Server{Name: server.Name, Boot: server.Boot}) {
+			return false
+		}
+	}
+	n.Log.Emit(event.ServerSilent, "server", server.Name, "service", server.Service, "boot", server.Boot)
+	return true
+}
+
+// answersHealthCheck reports whether a server answers a health check over a new connection,
+// whatever its answer is. Concurrent calls for the same start of a server share one check.
+func (n *Node) answersHealthCheck(server pool.Server) bool {
+	_, err, _ := n.healthChecks.Do(fmt.Sprintf("%s/%d", server.Name, server.Boot), func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
+		defer cancel()
+		return nil, n.Platform.CheckHealth(ctx, server, n.healthPath(server.Service))
+	})
+	return err == nil
+}
+
+// healthPath returns the path of a service's health check, "/" if none is configured.
+func (n *Node) healthPath(service string) string {
+	if p := n.Policy(); p != nil {
+		for _, s := range p.Services {
+			if s.Name == service && s.HealthPath != "" {
+				return s.HealthPath
+			}
+		}
+	}
+	return "/"
+}
+
+// isRunning reports whether a start of a server still runs, as far as this host can tell. One
+// that has announced that it leaves counts as running: it doesn't crash.
+func (n *Node) isRunning(s poison.Server) bool {
+	return n.Pool.IsListed(s.Name, s.Boot) || n.Pool.HasAnnouncedLeaving(s.Name, s.Boot)
+}
+
+// recordGoneServers counts the requests in flight at servers that are gone or have restarted.
+func (n *Node) recordGoneServers() {
+	for _, report := range n.crashes.RecordGone(time.Now()) {
+		go suspects{n}.broadcast(report)
+	}
 }
 
 // RecordBroken implements forward.Suspects.
-func (s suspects) RecordBroken(fp poison.Fingerprint, server poison.Server) {
-	report := s.crashes.Record(time.Now(), fp, server)
+func (s suspects) RecordBroken(fp poison.Fingerprint, server poison.Server, began time.Time) {
+	report := s.crashes.Record(time.Now(), fp, server, began)
 	go s.broadcast(report)
 }
 
--- a/internal/site/event/site.go
+++ b/internal/site/event/site.go
@@ -21,6 +21,7 @@
 	HostRetired
 	ServerLeaving
 	RequestsCut
+	ServerSilent
 )
 
 func siteEvents() []Entry {
@@ -42,5 +43,6 @@
 		{HostRetired, Info, "host retirement confirmed", "An operator asked to empty the named host before its removal; hosts keep no durable data on disk.", "Nothing."},
 		{ServerLeaving, Info, "backend server leaving", "It announced this in a response; this host sends it no new requests until it restarts.", "Nothing."},
 		{RequestsCut, Warning, "requests cut by the end of the host", "Their responses could not be written before the process had to exit.", "Allow a longer planned stop if this repeats."},
+		{ServerSilent, Info, "backend server silent", "A request that this host gave up was at a server that answers no health check either, or has restarted.", "Check the named server if this repeats."},
 	}
 }
--- a/internal/site/policy/policy.go
+++ b/internal/site/policy/policy.go
@@ -66,8 +66,8 @@
 }
 
 // Service is a set of interchangeable backend servers. Models are the models that its
-// engines serve, empty if the servers are not engines. HealthPath, MaxConnections and Scale
-// are decoded, but not applied.
+// engines serve, empty if the servers are not engines. MaxConnections and Scale are decoded,
+// but not applied.
 type Service struct {
 	Name           string
 	HealthPath     string // path of the health check
