Don't suspect or refuse the scorers of accepted batches

Cause: calls to scorers took the way of callers' requests and were convicted of the crashes for 15 minutes.

Change: a call that belongs to an accepted batch is owed, so that it is neither suspected nor refused.

--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -24,6 +24,9 @@
 	TimeLeft    time.Duration // sent to the server; zero means that the caller sets no limit, negative that none is left
 	Priority    int           // 0 is the highest; negative sends none
 	ResumeAfter int           // of a stream: number of events received in an earlier run
+	// Owed says that the request belongs to an accepted batch. It is neither suspected of
+	// crashing servers nor refused for it.
+	Owed bool
 	// NewConnection requests a new connection. On one that has carried the request
 	// before, a second copy of that response may still arrive and can't be told apart
 	// from the next response.
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -199,7 +199,7 @@
 	// Servers fall silent instead of breaking the connection, so that only the host's own
 	// time-out ends a send, or its caller. Guards against sending such a request forever, and
 	// against refusing one whose slow servers answer.
-	DescribeTable("that ends by time-outs", func(ctx SpecContext, silentCrash, canceled, refusedAfter bool) {
+	DescribeTable("that ends by time-outs", func(ctx SpecContext, silentCrash, owed, canceled, refusedAfter bool) {
 		sender := &servers{answers: []answer{"hangs", "hangs", "hangs", "hangs"}}
 		servers, counter := pooled(4), &suspects{}
 		if silentCrash {
@@ -207,7 +207,7 @@
 		}
 		f := &forward.Forwarder{Pool: servers, Sender: sender, OnRun: func(string) {}, Suspects: counter, Log: discard}
 		route := policy.Route{Name: "r", Kind: policy.Unsafe, Targets: []policy.Target{{Service: "s", Weight: 1}}, LatencyTarget: time.Second}
-		request := forward.Request{ID: "x", Target: "/a", Body: []byte("b"), TimeLeft: 200 * time.Millisecond}
+		request := forward.Request{ID: "x", Target: "/a", Body: []byte("b"), TimeLeft: 200 * time.Millisecond, Owed: owed}
 		for range 3 {
 			callerCtx, leave := context.WithCancel(ctx)
 			if canceled {
@@ -222,9 +222,10 @@
 		_, refused := errors.AsType[*forward.RefusedError](err)
 		Expect(refused).To(Equal(refusedAfter), "%v", err)
 	},
-		Entry("is refused once three servers were silent", true, false, true),
-		Entry("is refused if its callers leave before", true, true, true),
-		Entry("is sent while its servers are only slow", false, false, false),
+		Entry("is refused once three servers were silent", true, false, false, true),
+		Entry("is refused if its callers leave before", true, false, true, true),
+		Entry("is sent while its servers are only slow", false, false, false, false),
+		Entry("is sent if it belongs to an accepted batch", true, true, false, false),
 	)
 
 	// Guards against sends without a time limit after the process has stalled: the
--- a/internal/entry/forward/result.go
+++ b/internal/entry/forward/result.go
@@ -66,7 +66,7 @@
 }
 
 // suspectable reports whether the request may be suspected of crashing servers.
-func (r *run) suspectable() bool { return r.Suspects != nil }
+func (r *run) suspectable() bool { return r.Suspects != nil && !r.request.Owed }
 
 // handleResult processes the end of an attempt. It returns the response that ends
 // the request and true, or sets the decision that follows.
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -180,7 +180,7 @@
 	route.Attempts = 1 // the caller of Score retries and counts failures
 	response, err := s.Forwarder.Do(ctx, route, forward.Request{
 		ID: scorer.ID, Host: scorer.Host, Method: http.MethodPost, Target: scorer.Target,
-		Body: scorer.Body, TimeLeft: scoreTimeout, Priority: -1,
+		Body: scorer.Body, TimeLeft: scoreTimeout, Priority: -1, Owed: true,
 	})
 	switch {
 	case err != nil:
