Cut a started stream that fails, and mark its error

A generation on the product's own interface that failed after its first event ended like a complete one: with an event that held an error and a proper end of the response, a report of other operators.

Cause: the handler returned, and net/http ended the response.

--- a/internal/host/api/complete.go
+++ b/internal/host/api/complete.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 
@@ -164,7 +164,8 @@
 }
 
 // stream answers with server-sent events. The headers are sent with the first event, so
-// that a failure before it still has its own status. A later failure is sent as an event.
+// that a failure before it still has its own status. A later failure is sent as an event of
+// the type error, and the response is then cut off, so that it doesn't look complete.
 func (s *Server) stream(ctx context.Context, c echo.Context, call Call, request completionRequest, format answerFormat) error {
 	w := eventWriter{response: c.Response()}
 	sink := Sink{Event: func(e engine.Event) error { return w.write(s.chunkAnswer(call, request, format, e)) }}
@@ -175,7 +176,8 @@
 	if !w.started {
 		return err
 	}
-	return errors.Join(w.write(newErrorBody(AsError(err))), err)
+	_ = w.writeError(newErrorBody(AsError(err))) // fails only if the caller is gone
+	panic(http.ErrAbortHandler)                  // net/http closes the connection without the end of the response
 }
 
 // chunkAnswer returns the element of a stream for one event.
@@ -210,6 +212,14 @@
 	return w.writeData(data)
 }
 
+// writeError writes an event of the type error.
+func (w *eventWriter) writeError(body errorBody) error {
+	if _, err := io.WriteString(w.response, "event: error\n"); err != nil {
+		return err
+	}
+	return w.write(body)
+}
+
 // end writes the event that ends a stream.
 func (w *eventWriter) end() error { return w.writeData([]byte("[DONE]")) }
 
