--- a/internal/host/api/stream_test.go
+++ b/internal/host/api/stream_test.go
@@ -68,8 +68,13 @@
 		lacks      string
 	}{
 		{"complete", scripted{events: append(started, engine.Event{Done: true, Reason: "stop"})}, http.StatusOK, true, []string{`"first"`, "data: [DONE]\n\n"}, "error"},
-		{"fails in the middle", scripted{started, &Error{Code: BackendFailed, Message: "boom", Ran: RanYes}}, http.StatusOK, false,
-			[]string{`"first"`, "event: error\ndata: {\"error\":"}, "[DONE]"},
+		{
+			"fails in the middle",
+			scripted{started, &Error{Code: BackendFailed, Message: "boom", Ran: RanYes}},
+			http.StatusOK, false,
+			[]string{`"first"`, "event: error\ndata: {\"error\":"},
+			"[DONE]",
+		},
 		{"fails before its start", scripted{err: &Error{Code: NoBackend, Message: "none", Ran: RanNo}}, NoBackend.Status(), true, []string{`"code":"no_backend"`}, "event:"},
 	} {
 		status, body, end := readStream(t, test.dispatcher)
