--- a/internal/host/node/stop.go
+++ b/internal/host/node/stop.go
@@ -15,9 +15,8 @@
 //
 //  1. The host reports that it isn't ready, and hands its batches and its duty over.
 //  2. For admitAllPeriod it takes every request: its callers can't know of the stop yet.
-//  3. After that it takes only requests that end before its work ends, whatever they do:
-//     those whose deadline or timeout is earlier. It refuses the others at once, and they
-//     run at another host.
+//  3. After that it takes only requests whose deadline or timeout is before the end of its
+//     work. It refuses the others at once, and they run at another host.
 //  4. After drainDelay it closes its listener and its idle connections.
 //  5. When its work ends, requests in flight get their final response.
 
