Use the first connection to a server again once it has stated its idle timeout

Cause: connections were kept by an HTTP client for each idle timeout. The first response of a server states its timeout, so that the next request used another client, and the connections of the first ones stayed unused until they expired. Each pair of a host and a server opened its connections twice.

Change: all servers share one client. The time for which a connection may stay idle is looked up when it becomes idle and when it is used again.

--- a/internal/platform/rest/idle.go
+++ b/internal/platform/rest/idle.go
@@ -25,31 +25,36 @@
 	maxServers = 8192
 )
 
-// Clients provides the HTTP client for a server. Its idle connections are kept as long
-// as the server's Keep-Alive header allows, or as Config says if the server has sent
-// none. Servers with the same idle timeout share a client. It is safe for concurrent use.
+// Clients provides the HTTP client for servers. All servers share a client, so that a
+// connection that was opened before its server stated an idle timeout is used again
+// afterwards. It is safe for concurrent use.
 type Clients struct {
-	Config ClientConfig
+	Config ClientConfig // IdleTimeout is that of a server that states none
 
 	mu        sync.Mutex
-	clients   map[time.Duration]*http.Client // by idle timeout
-	singleUse *http.Client                   // keeps no connection
-	idle      map[string]time.Duration       // of keepAliveTimeout, by server address
+	client    *http.Client
+	singleUse *http.Client             // keeps no connection
+	idle      map[string]time.Duration // of keepAliveTimeout, by server address
 }
 
-// Client returns the client for a server's address.
-func (c *Clients) Client(address string) *http.Client {
+// Client returns the client of all servers. Its callers set Caller.MaxIdle to MaxIdle.
+func (c *Clients) Client() *http.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	config := c.Config
-	config.IdleTimeout = cmp.Or(c.idle[address], config.IdleTimeout)
-	if c.clients == nil {
-		c.clients = map[time.Duration]*http.Client{}
-	}
-	if c.clients[config.IdleTimeout] == nil {
-		c.clients[config.IdleTimeout] = config.Client()
+	if c.client == nil {
+		config := c.Config
+		config.IdleTimeout = maxIdle
+		c.client = config.Client()
 	}
-	return c.clients[config.IdleTimeout]
+	return c.client
+}
+
+// MaxIdle returns how long a connection to a server may have been idle to be used again: as
+// long as the server's Keep-Alive header allows, or as Config says if it has sent none.
+func (c *Clients) MaxIdle(address string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return cmp.Or(c.idle[address], c.Config.IdleTimeout)
 }
 
 // SingleUse returns a client that opens a new connection for each call and keeps none.
@@ -65,7 +70,7 @@
 }
 
 // ObserveKeepAlive records the idle timeout that a server's response header states, if
-// any, for later calls of Client.
+// any, for later calls of MaxIdle.
 func (c *Clients) ObserveKeepAlive(address string, header http.Header) {
 	idle, ok := keepAliveTimeout(header)
 	if !ok {
--- a/internal/platform/rest/tracker.go
+++ b/internal/platform/rest/tracker.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"time"
 )
 
 // errSealed is returned by a write on a connection whose request was reported as not
@@ -21,6 +22,45 @@
 	writes      int
 	sealed      bool
 	beforeWrite func() error // called before the next write, then cleared; may be nil
+	idle        *time.Timer  // closes the connection while it is idle; nil if none is set
+}
+
+// closeAfter closes the connection unless it is used within the time that limit returns,
+// which may have grown when that has passed.
+func (c *countedConn) closeAfter(limit func() time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle != nil {
+		c.idle.Stop()
+	}
+	since, wait := time.Now(), limit()
+	c.idle = time.AfterFunc(wait, func() { c.closeIdle(since, wait, limit) })
+}
+
+// closeIdle closes the connection, which has been idle since the given time, or waits again
+// if the limit has grown from waited. It does nothing if the connection is in use.
+func (c *countedConn) closeIdle(since time.Time, waited time.Duration, limit func() time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle == nil {
+		return
+	}
+	if grown := limit(); grown > waited {
+		c.idle = time.AfterFunc(time.Until(since.Add(grown)), func() { c.closeIdle(since, grown, limit) })
+		return
+	}
+	c.sealed = true
+	_ = c.Close() // nobody uses the connection
+}
+
+// use stops the timer of closeAfter. A connection that it has closed stays sealed.
+func (c *countedConn) use() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle != nil {
+		c.idle.Stop()
+		c.idle = nil
+	}
 }
 
 func (c *countedConn) Write(data []byte) (int, error) {
@@ -85,7 +125,8 @@
 // tracker follows one request through net/http. A connection serves one request at a
 // time, so writes that begin while the request holds the connection belong to it.
 type tracker struct {
-	check sendCheck
+	check   sendCheck
+	maxIdle func() time.Duration // see Caller.MaxIdle; may be nil
 
 	mu       sync.Mutex
 	obtained bool // the request was given a connection
@@ -125,11 +166,21 @@
 
 // trace returns a context that reports the request's connection to gotConn.
 func (t *tracker) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn, PutIdleConn: t.putIdle})
+}
+
+// putIdle is called by net/http when the request's connection may be used again.
+func (t *tracker) putIdle(err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err == nil && t.conn != nil && t.maxIdle != nil {
+		t.conn.closeAfter(t.maxIdle)
+	}
 }
 
 // gotConn is called by net/http before it writes the request to a connection. It seals a
-// reused connection that is unusable, so that the request fails unsent.
+// reused connection that is unusable or was idle for too long, so that the request fails
+// unsent.
 func (t *tracker) gotConn(info httptrace.GotConnInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -140,7 +191,9 @@
 	}
 	t.start = t.conn.writeCount()
 	t.conn.setBeforeWrite(t.check.run)
-	if info.Reused && unusable(t.conn.Conn) {
+	t.conn.use()
+	stale := t.maxIdle != nil && info.IdleTime > t.maxIdle()
+	if info.Reused && (stale || unusable(t.conn.Conn)) {
 		// A write since the count above is the closing alert of TLS, not the request,
 		// which waits for this function to return.
 		t.start = t.conn.seal()
