Take batches over across zones first, and notice silent owners sooner

With fault_tolerance.zones, hosts outside the owner's zone come first in taking over its batches. Owners are pinged side by side every 250 ms with a timeout of 330 ms; three misses in a row stay necessary, and each later rank waits for one miss more. A host reads the record just before a takeover: one in a cut-off zone counts as able to reach the store for 4.5 s.

Without the setting, rank and pings are as before.

--- a/internal/fleet/peer/mirror.go
+++ b/internal/fleet/peer/mirror.go
@@ -382,7 +382,7 @@
 	if cached != nil {
 		return *cached
 	}
-	found := roleOf(d.Self, d.ranked("watch"))
+	found := roleOf(d.Self, d.Ranked("watch"))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.changes == changes {
--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -173,7 +173,7 @@
 // among them.
 func (d *Directory) First(key string, count int) []string {
 	var names []string
-	for _, h := range d.ranked(key) {
+	for _, h := range d.Ranked(key) {
 		if len(names) < count {
 			names = append(names, h.Name)
 		}
@@ -181,10 +181,14 @@
 	return names
 }
 
-// ranked returns all hosts in the order of Rank.
-func (d *Directory) ranked(key string) []Host {
+// Ranked returns all hosts in the order of Rank.
+func (d *Directory) Ranked(key string) []Host {
 	hosts := d.Hosts()
-	slices.SortFunc(hosts, func(a, b Host) int { return cmp.Compare(score(key, b.Name), score(key, a.Name)) })
+	scores := make(map[string]uint64, len(hosts))
+	for _, h := range hosts {
+		scores[h.Name] = score(key, h.Name)
+	}
+	slices.SortFunc(hosts, func(a, b Host) int { return cmp.Compare(scores[b.Name], scores[a.Name]) })
 	return hosts
 }
 
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -52,6 +52,9 @@
 	// Bootstrap says that the whole site is starting for the first time. The host then
 	// waits for a moment before it reads the list of hosts.
 	Bootstrap bool
+	// ToleratedZones is the number of availability zones whose failure at a time must not
+	// delay batches (see batch.Batches).
+	ToleratedZones int
 }
 
 // StoreKeys holds the keys and key prefixes of the entries in the platform's store that hosts
@@ -267,7 +270,7 @@
 		Host: settings.Host, Incarnation: n.Incarnation, Store: n.store, Peers: peers{n.Directory},
 		Pool: n.Pool, Engine: platform.Engine, ScorerClient: scorerClient{n},
 		StoreReachable: func() bool { return n.policyAge() < maxReachableAge }, RetryAfter: n.outageRetryAfter,
-		Log: n.Log, Meter: n.Meter,
+		Log: n.Log, Meter: n.Meter, ToleratedZones: settings.ToleratedZones,
 	}
 	n.registerGauges()
 	n.newDutyWorkers()
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -111,6 +111,15 @@
 	*peer.Directory
 }
 
+func (p peers) Ranked(key string) []batch.RankedHost {
+	hosts := p.Directory.Ranked(key)
+	ranked := make([]batch.RankedHost, len(hosts))
+	for i, h := range hosts {
+		ranked[i] = batch.RankedHost{Name: h.Name, Zone: h.Zone}
+	}
+	return ranked
+}
+
 func (p peers) Read(ctx context.Context, host string, request batch.ReadRequest) (batch.ReadReply, error) {
 	return peer.Call[batch.ReadReply](ctx, p.Directory, host, "read", request)
 }
--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -17,7 +17,8 @@
 //     log, where each creation fails for the second one, which then reads the
 //     existing object and drops its own results for the same items.
 //  4. The host that is next in rank takes over a batch whose owner does not answer
-//     or can't reach the store. It reads the log and runs the missing items.
+//     or can't reach the store. It reads the log and runs the missing items. With
+//     Batches.ToleratedZones, hosts outside the owner's zone come first in rank.
 //  5. The end of a batch is acknowledged when the record says so. The owner is
 //     notified at once, and also sees it by its watch.
 package batch
--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -45,6 +45,7 @@
 	claimsOpen    map[string]bool // hosts whose ping says that they accept batches, although they don't any more
 	partialsDelay time.Duration   // before a request for partial results is answered
 	noPartials    map[string]bool // hosts that never answer a request for partial results
+	zones         zones
 }
 
 func newSite(ctx context.Context, hosts ...string) *site {
@@ -65,7 +66,8 @@
 		{Name: "e2", Service: "llm", Slots: 64, Versions: map[string]uint64{"m": 5}},
 	})
 	batches := &batch.Batches{
-		Host: host, Incarnation: incarnation, Store: s.store, Peers: &peers{site: s, self: host}, Pool: p,
+		Host: host, Incarnation: incarnation, Store: &zoneStore{Store: s.store, site: s, host: host}, Peers: &peers{site: s, self: host}, Pool: p,
+		ToleratedZones: s.zones.tolerated, Meter: s.zones.meters[host],
 		Engine: s.gen, ScorerClient: s.gen, StoreReachable: func() bool { return true }, RetryAfter: func() time.Duration { return time.Second },
 		Log: event.Log{Sink: func(e event.Entry, pairs []any) { GinkgoWriter.Println(host, e.Text, pairs) }},
 	}
@@ -75,7 +77,7 @@
 	s.mu.Unlock()
 	go batches.Run(ctx)
 	Eventually(batches.AcceptsBatches, patience).Should(BeTrue())
-	follower := object.Follower{Reader: s.store, Prefix: batch.RecordPrefix, Now: func() time.Duration { return 0 }, Handle: batches.ApplyChange}
+	follower := object.Follower{Reader: batches.Store, Prefix: batch.RecordPrefix, Now: func() time.Duration { return 0 }, Handle: batches.ApplyChange}
 	go follower.Run(ctx)
 }
 
@@ -135,21 +137,21 @@
 }
 
 func (p *peers) Read(ctx context.Context, host string, request batch.ReadRequest) (batch.ReadReply, error) {
-	if b := p.batches(host); b != nil {
+	if b := p.reach(ctx, host); b != nil {
 		return b.ServeRead(ctx, request), nil
 	}
 	return batch.ReadReply{}, errDead
 }
 
-func (p *peers) Body(_ context.Context, host string, request batch.BodyRequest) (batch.BodyReply, error) {
-	if b := p.batches(host); b != nil {
+func (p *peers) Body(ctx context.Context, host string, request batch.BodyRequest) (batch.BodyReply, error) {
+	if b := p.reach(ctx, host); b != nil {
 		return b.ServeBody(request), nil
 	}
 	return batch.BodyReply{}, errDead
 }
 
-func (p *peers) End(_ context.Context, host, id string) error {
-	if b := p.batches(host); b != nil {
+func (p *peers) End(ctx context.Context, host, id string) error {
+	if b := p.reach(ctx, host); b != nil {
 		b.ServeEnd(id)
 		return nil
 	}
@@ -167,14 +169,14 @@
 	if ctx.Err() != nil { // as a call over a network would
 		return batch.PartialsReply{}, ctx.Err()
 	}
-	if b := p.batches(host); b != nil {
+	if b := p.reach(ctx, host); b != nil {
 		return b.ServePartials(ctx, request), nil
 	}
 	return batch.PartialsReply{}, errDead
 }
 
-func (p *peers) Start(_ context.Context, host string, request batch.StartRequest) error {
-	b := p.batches(host)
+func (p *peers) Start(ctx context.Context, host string, request batch.StartRequest) error {
+	b := p.reach(ctx, host)
 	p.mu.Lock()
 	noStarts := p.noStarts[host]
 	p.mu.Unlock()
@@ -185,8 +187,12 @@
 	return nil
 }
 
-func (p *peers) Ping(_ context.Context, host string) (batch.HostStatus, error) {
-	if b := p.batches(host); b != nil {
+func (p *peers) Ping(ctx context.Context, host string) (batch.HostStatus, error) {
+	p.mu.Lock()
+	delay := p.zones.pingDelay[host]
+	p.mu.Unlock()
+	time.Sleep(delay)
+	if b := p.reach(ctx, host); b != nil {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		return batch.HostStatus{Incarnation: b.Incarnation, Healthy: !p.sick[host], Open: b.AcceptsBatches() || p.claimsOpen[host]}, nil
--- a/internal/rollout/batch/batches.go
+++ b/internal/rollout/batch/batches.go
@@ -61,6 +61,8 @@
 	// Rank returns the position of this host, from 0, in an order of the site's hosts that
 	// depends on the key alone. Hosts in without are left out.
 	Rank(key string, without ...string) int
+	// Ranked returns all hosts of the site, this one included, in the order of Rank.
+	Ranked(key string) []RankedHost
 	// Read calls ServeRead on a host.
 	Read(ctx context.Context, host string, request ReadRequest) (ReadReply, error)
 	// Body calls ServeBody on a host.
@@ -157,6 +159,10 @@
 	RetryAfter func() time.Duration
 	Log        event.Log
 	Meter      *meter.Meter // optional
+	// ToleratedZones is the number of availability zones whose failure at a time must not
+	// delay batches. Above zero, hosts in other zones than an owner's come first in taking
+	// over its batches, and silent owners are noticed sooner.
+	ToleratedZones int
 
 	mu          sync.Mutex
 	ctx         context.Context     // of Run; nil before it is called
--- /dev/null
+++ b/internal/rollout/batch/standby_test.go
@@ -0,0 +1,100 @@
+package batch_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// takeoverBound is the time within which a silent owner is replaced, 1.5 s, with half a
+// second for a busy machine.
+const takeoverBound = 2 * time.Second
+
+var _ = Describe("a batch on a site that tolerates the loss of a zone", func() {
+	var (
+		ctx    context.Context
+		cancel context.CancelFunc
+		s      *site
+	)
+	BeforeEach(func() {
+		ctx, cancel = context.WithCancel(context.Background()) //nolint:fatcontext // a new one for each spec
+	})
+	AfterEach(func() { cancel() })
+
+	// hold accepts a batch with one item at its owner, a1, and returns once its engine has
+	// made the first event.
+	hold := func(id, item string) {
+		GinkgoHelper()
+		s.gen.hold[item] = make(chan struct{})
+		Expect(s.batches("a1").Accept(ctx, submission(id, item))).To(Succeed())
+		Eventually(func() []int { return s.gen.resumed(item) }, patience).ShouldNot(BeEmpty())
+	}
+
+	// The zone of the owner is cut off, and the first in rank stands in the same zone. Guards
+	// against a batch that is taken over only after the partition.
+	It("is taken over by the first host of another zone", func() {
+		s = newZoneSite(ctx, 1, "a2", "a1", "b1", "c1")
+		hold("one", "x1")
+		s.cutZone("a")
+		Eventually(s.owner, takeoverBound).WithArguments("one").Should(Equal("b1"))
+		Consistently(s.owner, time.Second).WithArguments("one").Should(Equal("b1"))
+		s.cutZone("")
+		Eventually(s.runsOn, patience).Should(Equal([]string{"b1"}), "the previous owner stops")
+	})
+
+	// The first in rank of the other zones does not reach the store. Guards against a wait of
+	// seconds for each host that can't take the batch over.
+	It("is taken over by the next host soon when the first ones have failed", func() {
+		s = newZoneSite(ctx, 1, "b1", "c1", "a2", "d1", "a1")
+		hold("one", "x1")
+		for _, host := range []string{"b1", "c1", "a1"} {
+			s.kill(host)
+		}
+		Eventually(s.owner, takeoverBound+time.Second).WithArguments("one").Should(Equal("d1"))
+	})
+
+	// Several owners are silent at a time, as when a zone is lost. Guards against pings that
+	// wait for each other.
+	It("is taken over in time although many other owners are silent", func() {
+		s = newZoneSite(ctx, 1, "b1", "a1", "a2", "a3", "a4", "a5", "a6")
+		for _, host := range []string{"a2", "a3", "a4", "a5", "a6"} {
+			s.gen.hold["x"+host] = make(chan struct{})
+			Expect(s.batches(host).Accept(ctx, submission("of-"+host, "x"+host))).To(Succeed())
+		}
+		hold("one", "x1")
+		s.cutZone("a")
+		for _, id := range []string{"one", "of-a2", "of-a6"} {
+			Eventually(s.owner, takeoverBound).WithArguments(id).Should(Equal("b1"))
+		}
+	})
+
+	// The owner is busy and answers late. Guards against a takeover of a batch whose owner
+	// works.
+	It("stays with an owner that answers within 300 ms", func() {
+		s = newZoneSite(ctx, 1, "a1", "b1", "c1")
+		s.zones.pingDelay["a1"] = 280 * time.Millisecond
+		hold("one", "x1")
+		Consistently(s.owner, 3*time.Second).WithArguments("one").Should(Equal("a1"))
+	})
+
+	// Hosts outside the cut-off zone are silent for those inside it. Guards against a
+	// takeover by a host that can't reach the store and counts as sound for seconds.
+	It("stays with its owner when the first in rank is in a zone that is cut off", func() {
+		s = newZoneSite(ctx, 1, "b1", "a1", "a2", "c1")
+		hold("one", "x1")
+		s.cutZone("b")
+		Consistently(s.owner, 2500*time.Millisecond).WithArguments("one").Should(Equal("a1"))
+		s.cutZone("")
+		Consistently(s.owner, time.Second).WithArguments("one").Should(Equal("a1"))
+	})
+
+	// Guards against another order of takeovers on sites that do not ask for it.
+	It("is taken over in the order of Rank if no zone may fail", func() {
+		s = newZoneSite(ctx, 0, "c1", "a2", "b1", "a1")
+		hold("one", "x1")
+		s.kill("a1")
+		Eventually(s.owner, patience).WithArguments("one").Should(Equal("a2"))
+	})
+})
--- a/internal/rollout/batch/takeover.go
+++ b/internal/rollout/batch/takeover.go
@@ -2,8 +2,14 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
 )
 
@@ -29,10 +35,11 @@
 
 // watchOwners takes over batches whose owners fail (rule 4).
 func (b *Batches) watchOwners(ctx context.Context) {
-	ticker := time.NewTicker(ownerPollInterval)
+	watch := b.ownerWatch()
+	ticker := time.NewTicker(watch.interval)
 	defer ticker.Stop()
-	misses := map[string]int{}    // by owner, or by batch if there is no owner to ping
-	complete := map[string]bool{} // batches whose logs list all items
+	misses := map[string]int{} // by missKey, or by batch if there is no owner to ping
+	var attempts takeoverAttempts
 	for {
 		select {
 		case <-ctx.Done():
@@ -42,20 +49,66 @@
 		for id, k := range b.ownedUnstarted() {
 			b.release(ctx, id, k)
 		}
-		open := b.openWithoutWorker(complete)
-		b.pingOwners(ctx, open, misses)
+		open := b.openWithoutWorker(&attempts)
+		b.pingOwners(ctx, watch, open, misses)
 		for id, k := range open {
-			if b.mayTakeOver(id, k, misses) {
-				complete[id] = b.takeOver(ctx, id, k)
+			if !b.mayTakeOver(id, k, watch, misses) || !attempts.begin(id) {
+				continue
+			}
+			if b.ToleratedZones <= 0 {
+				attempts.end(id, b.takeOver(ctx, id, k))
+				continue
 			}
+			b.group.Go(func() { // so that a call to the store that hangs delays no ping
+				attempts.end(id, b.checkPath(ctx, id, k) && b.takeOver(ctx, id, k))
+			})
 		}
 	}
 }
 
+// takeoverAttempts records the batches that are being taken over, and those whose logs were
+// found to list all items. The zero value is ready to use.
+type takeoverAttempts struct {
+	mu       sync.Mutex
+	running  map[string]bool
+	complete map[string]bool
+}
+
+// begin reports whether a takeover may start now.
+func (t *takeoverAttempts) begin(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.running[id] || t.complete[id] {
+		return false
+	}
+	if t.running == nil {
+		t.running, t.complete = map[string]bool{}, map[string]bool{}
+	}
+	t.running[id] = true
+	return true
+}
+
+// end records the end of a takeover and whether all items of the batch are listed.
+func (t *takeoverAttempts) end(id string, complete bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.running, id)
+	if complete {
+		t.complete[id] = true
+	}
+}
+
+// isComplete reports whether a batch's log was found to list all items.
+func (t *takeoverAttempts) isComplete(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.complete[id]
+}
+
 // openWithoutWorker returns the batches that have not ended and that this host does not
 // run, including those that it owns and has not started. It leaves out those whose logs
 // are complete, and returns none while this host drains.
-func (b *Batches) openWithoutWorker(complete map[string]bool) map[string]known {
+func (b *Batches) openWithoutWorker(attempts *takeoverAttempts) map[string]known {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	open := map[string]known{}
@@ -63,58 +116,125 @@
 		return open
 	}
 	for id, k := range b.known {
-		if !k.Ended && b.workers[id] == nil && !complete[id] {
+		if !k.Ended && b.workers[id] == nil && !attempts.isComplete(id) {
 			open[id] = k
 		}
 	}
 	return open
 }
 
+// missKey returns the key of an owner's misses. With ToleratedZones each process of a host
+// has its own, so that a host's new process does not reset the misses of the earlier one.
+func (b *Batches) missKey(owner string, incarnation uint64) string {
+	if b.ToleratedZones <= 0 {
+		return owner
+	}
+	return owner + "\x00" + strconv.FormatUint(incarnation, 10)
+}
+
 // pingOwners pings the owners that this host watches and counts their misses in a row: a
 // ping that fails, or is answered by an unhealthy host or another process. It counts each
 // poll as a miss for a batch without an owner, and for one that this process owns but has
 // not started.
-func (b *Batches) pingOwners(ctx context.Context, open map[string]known, misses map[string]int) {
+func (b *Batches) pingOwners(ctx context.Context, watch ownerWatch, open map[string]known, misses map[string]int) {
+	watched := b.watchedOwners(open, misses)
+	began := time.Now()
+	statuses := b.pingAll(ctx, watch, slices.Collect(maps.Keys(watched)))
+	if watch.stallMargin > 0 && time.Since(began) > watch.pingTimeout+watch.stallMargin {
+		return // this host stood still: a missing answer says nothing about the owner
+	}
+	for owner, status := range statuses {
+		for _, incarnation := range watched[owner] {
+			if status.Healthy && status.Incarnation == incarnation {
+				misses[b.missKey(owner, incarnation)] = 0
+			} else {
+				misses[b.missKey(owner, incarnation)]++
+			}
+		}
+	}
+}
+
+// watchedOwners returns the owners to ping and the incarnations that are expected there. It
+// counts the misses of batches without an owner to ping, and deletes the misses of all
+// others that this host does not watch.
+func (b *Batches) watchedOwners(open map[string]known, misses map[string]int) map[string][]uint64 {
 	polled := map[string]bool{} // keys of misses that are still in use
+	watched := map[string][]uint64{}
 	for id, k := range open {
 		if k.Owner == "" || k.Owner == b.Host && k.Incarnation == b.Incarnation {
 			polled[id] = true
 			misses[id]++
 			continue
 		}
-		if k.Owner == b.Host || polled[k.Owner] || b.Peers.Rank(id, k.Owner) >= watchersPerOwner {
+		key := b.missKey(k.Owner, k.Incarnation)
+		if k.Owner == b.Host || polled[key] || !b.watchesOwner(id, k) {
 			continue
 		}
-		polled[k.Owner] = true
-		pingCtx, cancel := context.WithTimeout(ctx, ownerPingTimeout)
-		status, err := b.Peers.Ping(pingCtx, k.Owner)
-		cancel()
-		if err == nil && status.Healthy && status.Incarnation == k.Incarnation {
-			misses[k.Owner] = 0
-		} else {
-			misses[k.Owner]++
-		}
+		polled[key] = true
+		watched[k.Owner] = append(watched[k.Owner], k.Incarnation)
 	}
 	for key := range misses {
 		if !polled[key] {
 			delete(misses, key)
 		}
 	}
+	return watched
+}
+
+// pingAll pings hosts and returns their status. The status of a host that does not answer in
+// time is empty.
+func (b *Batches) pingAll(ctx context.Context, watch ownerWatch, hosts []string) map[string]HostStatus {
+	var (
+		mu       sync.Mutex
+		statuses = map[string]HostStatus{}
+		group    errgroup.Group
+	)
+	group.SetLimit(watch.parallelPings)
+	for _, host := range hosts {
+		group.Go(func() error {
+			pingCtx, cancel := context.WithTimeout(ctx, watch.pingTimeout)
+			defer cancel()
+			status, err := b.Peers.Ping(pingCtx, host)
+			if err != nil {
+				status = HostStatus{}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[host] = status
+			return nil
+		})
+	}
+	_ = group.Wait() // no ping returns an error
+	return statuses
 }
 
 // mayTakeOver reports whether it is this host's turn to take over a batch.
-func (b *Batches) mayTakeOver(id string, k known, misses map[string]int) bool {
+func (b *Batches) mayTakeOver(id string, k known, watch ownerWatch, misses map[string]int) bool {
 	if !b.StoreReachable() {
 		return false
 	}
 	if k.Owner == b.Host { // owned by an earlier process, or the start message was lost
 		return k.Incarnation != b.Incarnation || misses[id] > maxStartMisses
 	}
-	rank := b.Peers.Rank(id, k.Owner, k.PreviousOwner)
 	if k.Owner == "" { // its owner drained; the first in rank may be gone too
-		return misses[id] > rank*missesPerRank
+		return misses[id] > b.takeoverRank(id, k)*watch.missesPerRank
+	}
+	missed := misses[b.missKey(k.Owner, k.Incarnation)]
+	return missed >= maxOwnerMisses && missed >= maxOwnerMisses+b.takeoverRank(id, k)*watch.missesPerRank
+}
+
+// checkPath reports whether this host reaches the store now and the batch still has the
+// known owner. StoreReachable notices an outage only after seconds, and the watch of the
+// records delivers the takeover by another host with a delay.
+func (b *Batches) checkPath(ctx context.Context, id string, k known) bool {
+	ctx, cancel := context.WithTimeout(ctx, pathCheckTimeout)
+	defer cancel()
+	record, version, err := b.storage().record(ctx, id)
+	if err != nil {
+		return false
 	}
-	return misses[k.Owner] >= maxOwnerMisses+rank*missesPerRank
+	b.applyRecord(id, record, version)
+	return !record.Ended && record.Epoch == k.Epoch
 }
 
 // takeOver makes this host the owner of a batch and runs the items that are not listed. It
