Detect availability zones that go silent, and move generations out of them

Generations there go on elsewhere from their text, safe requests are hedged, and the zone's servers are not selected until one of them answers.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -5,8 +5,8 @@
 //
 //  1. A server is eligible if it runs the wanted service, is not draining (according
 //     to the platform's list or to one of its own responses), is not in backoff, is
-//     not in the list of servers to avoid, and holds the wanted weights version or a
-//     newer one.
+//     not in the list of servers to avoid, is not in a silent zone, and holds the wanted
+//     weights version or a newer one.
 //  2. Among the eligible servers, the one with the least load per slot is selected.
 //     The load is the number of this host's requests there, plus the load beyond
 //     those that the server last reported, while the report is recent.
@@ -97,6 +97,7 @@
 	servers map[string]*entry
 	leaving map[instance]struct{} // instances that announced in a response that they leave
 	drained map[instance]struct{} // instances that were listed as draining
+	silent  map[string]bool       // silent zones
 	hasList bool
 	changed chan struct{}
 }
@@ -191,7 +192,7 @@
 }
 
 // Changed returns a channel that is closed at the next Put, Replace, change of a
-// server's weights versions, end of a backoff, or Release, after which Pick may
+// server's weights versions, end of a backoff or of a zone's silence, or Release, after which Pick may
 // succeed. A lower load report, or the expiry of one, doesn't close it.
 func (p *Pool) Changed() <-chan struct{} {
 	p.mu.Lock()
@@ -219,7 +220,7 @@
 	var least float64
 	shortest := p.shortestInterval(now, need.Service)
 	for _, e := range p.servers {
-		if !e.eligible(now, need) {
+		if p.silent[e.Zone] || !e.eligible(now, need) {
 			continue
 		}
 		load := e.load(now)
@@ -346,7 +347,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.servers {
-		if e.eligible(now, need) && 2*e.load(now) < float64(e.slots()) {
+		if !p.silent[e.Zone] && e.eligible(now, need) && 2*e.load(now) < float64(e.slots()) {
 			return true
 		}
 	}
--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -40,7 +40,8 @@
 	Leave          bool // the server On announces that it leaves
 	Put            *pool.Server
 	Remove         bool
-	After          int // milliseconds that pass before the step
+	Silent, Answer string // a zone that goes silent, or that answers again
+	After          int    // milliseconds that pass before the step
 }
 
 var _ = Describe("the selection of a server", func() {
@@ -64,6 +65,12 @@
 
 func (s step) run(p *pool.Pool, now time.Time, i int) {
 	switch {
+	case s.Silent != "":
+		p.SetSilent(s.Silent, true)
+	case s.Answer != "":
+		changed := p.Changed()
+		p.SetSilent(s.Answer, false)
+		Expect(changed).To(BeClosed(), "step %d", i)
 	case s.Put != nil:
 		p.Put(*s.Put)
 	case s.Remove:
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
+	"github.com/hyssopwall/hyssopwall/internal/backend/silence"
 	"github.com/hyssopwall/hyssopwall/internal/entry/forward"
 	"github.com/hyssopwall/hyssopwall/internal/entry/poison"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
@@ -178,6 +179,39 @@
 		Expect(got.Status).To(Equal(http.StatusOK))
 	})
 
+	// Guards against requests that wait for a zone that is cut off, although they may be
+	// repeated, and against repeating one that must not be.
+	DescribeTable("whose server's zone goes silent", func(ctx SpecContext, kind policy.Kind, sends int) {
+		sender := &servers{answers: []answer{"hangs", "ok"}}
+		servers := &pool.Pool{}
+		servers.Replace([]pool.Server{{Name: "a", Service: "s", Zone: "a", Slots: 4}, {Name: "b", Service: "s", Zone: "b", Slots: 4}})
+		zones := &silence.Watch{OnChange: servers.SetSilent}
+		f := &forward.Forwarder{Pool: servers, Sender: sender, Zones: zones, OnRun: func(string) {}, Log: discard}
+		route := policy.Route{Name: "r", Kind: kind, Attempts: 2, Targets: []policy.Target{{Service: "s", Weight: 1}}, LatencyTarget: 10 * time.Second, Timeout: time.Second}
+		go func() {
+			for sent, _ := sender.count(); sent == 0; sent, _ = sender.count() {
+				time.Sleep(time.Millisecond)
+			}
+			now := time.Now()
+			for _, server := range []string{"e1", "e2", "e3"} {
+				zones.Begin("a", server, func() {}).Event(now)
+			}
+			for range 12 {
+				zones.Arrived(now, "b")
+				zones.Check(now, map[string]int{"a": 4, "b": 1})
+				now = now.Add(silence.CheckInterval)
+			}
+		}()
+		got, err := f.Do(ctx, route, forward.Request{ID: "x"})
+		sent, _ := sender.count()
+		Expect(sent).To(Equal(sends))
+		Expect(err == nil).To(Equal(sends > 1), "%v", err)
+		Expect(got.Status == http.StatusOK).To(Equal(sends > 1))
+	},
+		Entry("is sent to another zone at once", policy.Safe, 2),
+		Entry("is not sent twice if it is not safe", policy.Unsafe, 1),
+	)
+
 	// Guards against sending a request that crashes servers each time its caller
 	// repeats it.
 	It("is refused once it has crashed three servers", func(ctx SpecContext) {
--- a/internal/entry/forward/run.go
+++ b/internal/entry/forward/run.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
+	"github.com/hyssopwall/hyssopwall/internal/backend/silence"
 	"github.com/hyssopwall/hyssopwall/internal/entry/attempt"
 	"github.com/hyssopwall/hyssopwall/internal/entry/poison"
 	"github.com/hyssopwall/hyssopwall/internal/fleet/lease"
@@ -64,8 +65,10 @@
 	Pool     *pool.Pool
 	Sender   Sender
 	OnRun    func(workspace string)
-	Suspects Suspects    // may be nil
-	Clock    lease.Clock // nil means lease.BootClock
+	Suspects Suspects // may be nil
+	// Zones, if set, hedges requests that may be repeated when their server's zone goes silent.
+	Zones *silence.Watch
+	Clock lease.Clock // nil means lease.BootClock
 	// Ending, if set, is closed when the host ends its work: requests in flight then get
 	// their final response.
 	Ending <-chan struct{}
@@ -94,7 +97,8 @@
 		service:     route.ChooseService(rand.Float64()),
 		fingerprint: poison.FingerprintOf(request.Workspace, request.Host+request.Target, request.Body),
 		started:     time.Now(), timeAllowed: timeLeft, deadline: f.now() + timeLeft,
-		results: make(chan result, max(route.Attempts, attempt.DefaultMaxAttempts)+maxRefusals),
+		results:  make(chan result, max(route.Attempts, attempt.DefaultMaxAttempts)+maxRefusals),
+		silenced: make(chan int, 1),
 		state: attempt.State{
 			Phase: attempt.Queued, Idempotent: route.Kind == policy.Safe, MaxAttempts: max(1, route.Attempts),
 		},
@@ -158,6 +162,7 @@
 	deadline      time.Duration // by the forwarder's clock
 	state         attempt.State
 	results       chan result                // buffered, so that an attempt may end after the request
+	silenced      chan int                   // attempts in zones that went silent; buffered
 	cancels       map[int]context.CancelFunc // by attempt
 	avoid         []string                   // servers tried, cleared when no other has capacity
 	sentTo        []string                   // server of each attempt, in order
@@ -195,6 +200,9 @@
 			}
 		case <-slow:
 			decision = r.apply(attempt.Event{Kind: attempt.EventSlow, BudgetAllows: r.maySendExtra()})
+		case attemptID := <-r.silenced:
+			stop()
+			decision = r.hedgeSilent(attemptID)
 		case <-ctx.Done():
 			stop()
 			if response, ok := r.readyResponse(); ok {
--- a/internal/entry/forward/send.go
+++ b/internal/entry/forward/send.go
@@ -161,8 +161,10 @@
 		return choice.Check()
 	}
 	sentAt := time.Now()
+	watched := r.watchZone(choice.Server, attemptID)
 	go func() {
 		response, err := r.Sender.Send(ctx, choice.Server, request)
+		r.endWatch(watched, choice.Server, err)
 		if err == nil {
 			choice.KeepConnection()
 		}
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
+	"github.com/hyssopwall/hyssopwall/internal/backend/silence"
 	"github.com/hyssopwall/hyssopwall/internal/billing/tally"
 	"github.com/hyssopwall/hyssopwall/internal/entry/forward"
 	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
@@ -52,6 +53,9 @@
 	// Bootstrap says that the whole site is starting for the first time. The host then
 	// waits for a moment before it reads the list of hosts.
 	Bootstrap bool
+	// ToleratedZones is the number of availability zones whose loss the site has to tolerate.
+	// From 1 on, silent zones are detected (see package silence).
+	ToleratedZones int
 }
 
 // StoreKeys holds the keys and key prefixes of the entries in the platform's store that hosts
@@ -203,6 +207,7 @@
 	Meter     *meter.Meter    // metrics
 
 	store            object.Store
+	zones            *silence.Watch      // nil unless Settings.ToleratedZones is above 0
 	crashes          poison.CrashCounter // crashes of servers, by request
 	healthChecks     singleflight.Group  // of servers, by name and boot
 	health           peer.StoreHealth
@@ -269,6 +274,7 @@
 		StoreReachable: func() bool { return n.policyAge() < maxReachableAge }, RetryAfter: n.outageRetryAfter,
 		Log: n.Log, Meter: n.Meter,
 	}
+	n.followZones()
 	n.registerGauges()
 	n.newDutyWorkers()
 	return n
--- a/internal/host/node/run.go
+++ b/internal/host/node/run.go
@@ -70,6 +70,7 @@
 		func() { n.watchStaleness(ctx) },
 		func() { n.fetchSuspects(ctx) },
 		func() { runEvery(ctx, silenceCheckInterval, n.checkSilentSends) },
+		func() { n.watchZones(ctx) },
 	}
 }
 
--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
+	"github.com/hyssopwall/hyssopwall/internal/backend/silence"
 	"github.com/hyssopwall/hyssopwall/internal/entry/forward"
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 	"github.com/hyssopwall/hyssopwall/internal/rollout/batch"
@@ -45,6 +46,7 @@
 	claimsOpen    map[string]bool // hosts whose ping says that they accept batches, although they don't any more
 	partialsDelay time.Duration   // before a request for partial results is answered
 	noPartials    map[string]bool // hosts that never answer a request for partial results
+	zones         *silence.Watch  // of hosts that are started from now on
 }
 
 func newSite(ctx context.Context, hosts ...string) *site {
@@ -66,7 +68,7 @@
 	})
 	batches := &batch.Batches{
 		Host: host, Incarnation: incarnation, Store: s.store, Peers: &peers{site: s, self: host}, Pool: p,
-		Engine: s.gen, ScorerClient: s.gen, StoreReachable: func() bool { return true }, RetryAfter: func() time.Duration { return time.Second },
+		Engine: s.gen, ScorerClient: s.gen, Zones: s.zones, StoreReachable: func() bool { return true }, RetryAfter: func() time.Duration { return time.Second },
 		Log: event.Log{Sink: func(e event.Entry, pairs []any) { GinkgoWriter.Println(host, e.Text, pairs) }},
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
@@ -378,6 +380,46 @@
 		Eventually(func() []string { return s.listed("h3", "one") }, patience).Should(Equal([]string{"a1"}))
 	})
 
+	// The engines of a zone stop sending at once. Guards against generations that wait for their
+	// timeouts there, start from the beginning, or count the cut as a failure of their items.
+	It("goes on elsewhere from its texts when the zone of its engines goes silent", func() {
+		s.zones = &silence.Watch{OnChange: func(zone string, silent bool) { s.batches("h4").Pool.SetSilent(zone, silent) }}
+		s.start("h4", 1)
+		list := []pool.Server{{Name: "z", Zone: "b", Service: "llm", Slots: 8, Versions: map[string]uint64{"m": 5}}}
+		for _, name := range []string{"a", "b", "c"} {
+			list = append(list, pool.Server{Name: name, Zone: "a", Service: "llm", Slots: 1, Versions: map[string]uint64{"m": 5}})
+		}
+		s.batches("h4").Pool.Replace(list)
+		one := submission("one", "a1", "a2", "b1")
+		one.Attempts = 1
+		held := make(chan struct{})
+		for _, item := range one.Items {
+			s.gen.hold[item.ID] = held
+		}
+		accept("h4", one)
+		for _, item := range one.Items {
+			Eventually(func() []int { return s.gen.resumed(item.ID) }, patience).Should(Equal([]int{0}))
+		}
+		time.Sleep(50 * time.Millisecond) // each has made its first event
+		now := time.Now()
+		for range 12 {
+			s.zones.Arrived(now, "b")
+			s.zones.Check(now, map[string]int{"a": 3, "b": 1})
+			now = now.Add(silence.CheckInterval)
+		}
+		for _, item := range one.Items {
+			Eventually(func() []int { return s.gen.resumed(item.ID) }, patience).Should(Equal([]int{0, 1}))
+			Expect(s.gen.server(item.ID)).To(Equal("z"))
+		}
+		close(held)
+		Eventually(func() []string { return s.listed("h4", "one") }, patience).Should(ConsistOf("a1", "a2", "b1"))
+		page, err := s.read("h4", "one", 0)
+		Expect(err).NotTo(HaveOccurred())
+		for _, result := range page.Results {
+			Expect(result.Text).To(Equal(text(result.ID)))
+		}
+	})
+
 	// The store loses the answers to some writes, and the trainer submits a large batch again.
 	// The next host encodes it differently, as after a change of the configuration. Guards
 	// against a stored body that mixes parts of both encodings.
--- a/internal/rollout/batch/batches.go
+++ b/internal/rollout/batch/batches.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
+	"github.com/hyssopwall/hyssopwall/internal/backend/silence"
 	"github.com/hyssopwall/hyssopwall/internal/entry/forward"
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
@@ -155,8 +156,10 @@
 	// RetryAfter returns the time after which the caller of a refused batch should return
 	// while the store is away.
 	RetryAfter func() time.Duration
-	Log        event.Log
-	Meter      *meter.Meter // optional
+	// Zones ends the generations in zones that go silent; optional.
+	Zones *silence.Watch
+	Log   event.Log
+	Meter *meter.Meter // optional
 
 	mu          sync.Mutex
 	ctx         context.Context     // of Run; nil before it is called
--- a/internal/rollout/batch/generate.go
+++ b/internal/rollout/batch/generate.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
+	"github.com/hyssopwall/hyssopwall/internal/backend/silence"
 	"github.com/hyssopwall/hyssopwall/internal/entry/forward"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
 )
@@ -165,7 +166,7 @@
 		return false
 	}
 	g.reportBroken(choice, err)
-	if isError[*slowEngineError](err) {
+	if isError[*slowEngineError](err) || isError[*silence.ZoneError](err) {
 		return false
 	}
 	if isError[*versionMismatchError](err) {
@@ -204,7 +205,7 @@
 	}
 	freshConnection := slices.Contains(g.triedEngines, choice.Server.Name)
 	g.triedEngines = append(g.triedEngines, choice.Server.Name)
-	stream, err := g.Engine.Generate(ctx, choice.Server, forward.Request{
+	stream, err := g.startStream(ctx, choice.Server, forward.Request{
 		ID: g.item.ID, Host: g.batch.Host, Method: "POST", Target: g.item.Target, Header: g.item.Header,
 		Body: g.item.Body, Workspace: g.batch.Workspace, Priority: -1, ResumeAfter: len(g.Texts),
 		NewConnection: freshConnection,
