Move generations only to avoid lateness where servers report work times

Results before the due time of a batch are not worth more, and most moves were of no use. Where the route has a completion target and servers of the service send a fourth load figure, a generation now moves only if its expected end here is after the due time less a quarter of the target, judged by a pace that has lasted for two windows and 1.5 s. Trainers that lag, other services and routes without a target get moves as before.

The load header may have three or four figures; one with four was discarded. The batch as stored carries the completion target, absent in older ones.

With the old rule in place of the new one, the specs for noise of 0.6 s and for a batch in time fail. The stub engine of the batch tests gets a length, a pace and a work time; its other behavior is unchanged.

--- a/internal/backend/pool/commands.go
+++ b/internal/backend/pool/commands.go
@@ -128,7 +128,10 @@
 
 // RecordLoad records the load that a response reported.
 func (c *Choice) RecordLoad(now time.Time, load Load) {
-	c.update(func(e *entry) { e.reported, e.reportedAt, e.ownAtReport = load, now, e.ownRequests })
+	c.update(func(e *entry) {
+		e.reported, e.reportedAt, e.ownAtReport = load, now, e.ownRequests
+		c.pool.addWorkTime(now, e, load.WorkTime)
+	})
 }
 
 // RecordEventInterval adds the time between two events of a generation to the
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -73,8 +73,11 @@
 
 // Load is the number of requests that a server reports in a response as running and
 // waiting, and its slots. Selection counts the slots of the platform's list instead.
+// WorkTime is how long work takes on the machine at this moment in percent of the normal
+// time, zero if the server does not report it.
 type Load struct {
 	Running, Waiting, Slots int
+	WorkTime                int
 }
 
 // Need describes the server that a request requires.
@@ -98,6 +101,9 @@
 	leaving map[instance]struct{} // instances that announced in a response that they leave
 	drained map[instance]struct{} // instances that were listed as draining
 	hasList bool
+
+	sendsWorkTime map[string]bool // services of which a server has reported a work time
+
 	changed chan struct{}
 }
 
--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -210,16 +210,19 @@
 	mu             sync.Mutex
 	hold           map[string]chan struct{}
 	fail           map[string]*batch.FailedRunError
-	refuse         map[string]int      // number of runs that the engine turns away, by item
-	servers        map[string]string   // of the latest run, by item
-	refusal        chan struct{}       // until it is closed, such runs wait to be turned away
-	stopDelay      time.Duration       // from the end of a run's context to that of the run
-	cut            map[string]int      // number of events after which the stream breaks off, once
-	version        uint64              // weights version that runs start with, 5 if zero
-	runs           map[string][]int    // number of resumed events of each run, by item
-	bodies         map[string][]string // of each run, by item
-	scores         int                 // calls of the scorer
-	scorerFailures int                 // number of scorer calls that still fail
+	refuse         map[string]int                               // number of runs that the engine turns away, by item
+	servers        map[string]string                            // of the latest run, by item
+	refusal        chan struct{}                                // until it is closed, such runs wait to be turned away
+	stopDelay      time.Duration                                // from the end of a run's context to that of the run
+	cut            map[string]int                               // number of events after which the stream breaks off, once
+	version        uint64                                       // weights version that runs start with, 5 if zero
+	runs           map[string][]int                             // number of resumed events of each run, by item
+	bodies         map[string][]string                          // of each run, by item
+	scores         int                                          // calls of the scorer
+	scorerFailures int                                          // number of scorer calls that still fail
+	lengths        map[string]int                               // events by item, 3 for the others
+	gap            func(server string, event int) time.Duration // time before an event, if set
+	workTime       int                                          // fourth load figure of all engines, zero for none
 }
 
 const events = 3
@@ -239,7 +242,13 @@
 	if version == 0 {
 		version = 5
 	}
-	s := &stream{ctx: ctx, item: request.ID, next: request.ResumeAfter, version: version, hold: e.hold[request.ID], cut: -1, stopDelay: e.stopDelay}
+	s := &stream{ctx: ctx, item: request.ID, next: request.ResumeAfter, version: version, hold: e.hold[request.ID], cut: -1, stopDelay: e.stopDelay, workTime: e.workTime, last: events}
+	if length := e.lengths[request.ID]; length > 0 {
+		s.last = length
+	}
+	if e.gap != nil {
+		s.gap = func(event int) time.Duration { return e.gap(server.Name, event) }
+	}
 	if failed != nil {
 		s.fail = failed
 	}
@@ -299,12 +308,15 @@
 	stopDelay time.Duration
 	fail      error // returned after the hold
 	started   bool
+	workTime  int
+	last      int
+	gap       func(event int) time.Duration
 }
 
 func (s *stream) Next() (batch.Event, error) {
 	if !s.started {
 		s.started = true
-		return batch.Event{Version: s.version}, nil
+		return batch.Event{Version: s.version, WorkTime: s.workTime}, nil
 	}
 	if s.hold != nil && s.next >= 1 {
 		select {
@@ -320,10 +332,13 @@
 	if s.next == s.cut {
 		return batch.Event{}, &forward.BrokenError{Reason: "cut"}
 	}
-	if s.next == events {
+	if s.next == s.last {
 		return batch.Event{}, io.EOF
 	}
 	s.next++
+	if s.gap != nil {
+		time.Sleep(s.gap(s.next))
+	}
 	return batch.Event{Number: s.next, Text: fmt.Sprintf("%s-%d", s.item, s.next)}, nil
 }
 
--- a/internal/rollout/batch/batches.go
+++ b/internal/rollout/batch/batches.go
@@ -22,11 +22,12 @@
 // Event is one event of a generation. Number counts the events of an item from 1, over
 // all its runs; it is zero for the start of a stream, which has no text. Version is the
 // weights version that generates this event and the following ones, or zero if it has not
-// changed.
+// changed. WorkTime is that of pool.Load, in the start of a stream only.
 type Event struct {
-	Number  int
-	Text    string
-	Version uint64
+	Number   int
+	Text     string
+	Version  uint64
+	WorkTime int
 }
 
 // Engine starts generations on engines. Its errors are those of package forward, or
@@ -159,14 +160,16 @@
 	Meter      *meter.Meter // optional
 
 	mu          sync.Mutex
-	ctx         context.Context     // of Run; nil before it is called
-	known       map[string]known    // by batch, as are workers, logs, chunks and logComplete
-	workers     map[string]*worker  // of batches that run here or have completed here and not ended
-	active      map[*worker]bool    // workers whose run has not returned; a dropped one may still store text
-	logs        map[string][]Result // results of batches without a worker here, as far as they were read
-	chunks      map[string]int      // number of log objects read into logs
-	logComplete map[string]bool     // whether no write was in flight when an ended batch was stopped
-	partials    map[string]Partial  // by item, of generations that have stopped here
+	ctx         context.Context        // of Run; nil before it is called
+	known       map[string]known       // by batch, as are workers, logs, chunks and logComplete
+	workers     map[string]*worker     // of batches that run here or have completed here and not ended
+	active      map[*worker]bool       // workers whose run has not returned; a dropped one may still store text
+	logs        map[string][]Result    // results of batches without a worker here, as far as they were read
+	chunks      map[string]int         // number of log objects read into logs
+	logComplete map[string]bool        // whether no write was in flight when an ended batch was stopped
+	partials    map[string]Partial     // by item, of generations that have stopped here
+	late        map[string]bool        // ended batches that ran here and were late, by batch
+	ratios      map[string]*eventRatio // by service
 	assigner    assigner
 	draining    bool
 	group       sync.WaitGroup // workers, notifications and retries of ends
@@ -199,6 +202,8 @@
 		b.chunks = map[string]int{}
 		b.logComplete = map[string]bool{}
 		b.partials = map[string]Partial{}
+		b.late = map[string]bool{}
+		b.ratios = map[string]*eventRatio{}
 	}
 }
 
@@ -242,6 +247,9 @@
 	delete(b.workers, id)
 	w.cancel()
 	if record.Ended {
+		if _, late := w.awaited(); late {
+			b.late[id] = true
+		}
 		b.retainResults(id, w)
 	}
 	b.Log.Emit(event.BatchDropped, "batch", id, "ended", record.Ended, "owner", record.Owner, "epoch", record.Epoch)
@@ -275,6 +283,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.known, id)
+	delete(b.late, id)
 	delete(b.logs, id)
 	delete(b.chunks, id)
 	delete(b.logComplete, id)
--- a/internal/rollout/batch/commands.go
+++ b/internal/rollout/batch/commands.go
@@ -118,6 +118,7 @@
 		return
 	}
 	w := newWorker(b, batch, record, log, chunks)
+	w.lagging = b.trainerLags(batch, record)
 	ctx, cancel := context.WithCancel(b.ctx)
 	w.cancel = cancel
 	b.workers[batch.ID] = w
--- a/internal/rollout/batch/generate.go
+++ b/internal/rollout/batch/generate.go
@@ -129,6 +129,7 @@
 		choice.Release()
 		if err == nil {
 			g.Complete = true
+			g.learnLength(g.batch.Service, g.item, len(g.Texts))
 			return g.score(ctx)
 		}
 		if ctx.Err() != nil {
@@ -166,6 +167,7 @@
 	}
 	g.reportBroken(choice, err)
 	if isError[*slowEngineError](err) {
+		g.Meter.Count("generation_moves_total", "route", g.batch.Route)
 		return false
 	}
 	if isError[*versionMismatchError](err) {
@@ -234,6 +236,9 @@
 			version = next.Version
 			choice.ObserveVersion(g.batch.Model, version)
 		}
+		if next.WorkTime > 0 {
+			choice.RecordWorkTime(time.Now(), next.WorkTime)
+		}
 		if next.Number == 0 {
 			continue // the start of the stream, which names the weights version
 		}
@@ -242,13 +247,25 @@
 		}
 		watchdog.Reset(eventTimeout) // only complete events count as progress
 		if gap, ok := pace.observe(time.Now()); ok && g.runs < maxMoveRuns {
-			if quickest := choice.FastestOtherInterval(time.Now(), g.need()); MoveSavesTime(len(g.Texts), gap, quickest, g.runs) {
+			if quickest := choice.FastestOtherInterval(time.Now(), g.need()); g.shouldMove(time.Now(), &pace, gap, quickest) {
 				return &slowEngineError{gap: gap, quickest: quickest}
 			}
 		}
 	}
 }
 
+// shouldMove reports whether the item should move to a faster engine at the end of a
+// window. Gap is the interval of that window.
+func (g *generation) shouldMove(now time.Time, pace *paceMeter, gap, quickest time.Duration) bool {
+	if g.latestEnd.IsZero() || g.lagging || !g.Pool.SendsWorkTime(g.batch.Service) {
+		return MoveSavesTime(len(g.Texts), gap, quickest, g.runs)
+	}
+	return MoveAvoidsLateness(now, Progress{
+		Generated: len(g.Texts), Expected: g.expectedEvents(g.batch.Service, g.item),
+		Gaps: pace.gaps, Quickest: quickest, Runs: g.runs, LatestEnd: g.latestEnd,
+	})
+}
+
 // addEvent appends an event to the text. It returns an error if the event's number, its
 // size or the weights version is not acceptable.
 func (g *generation) addEvent(next Event, version uint64) error {
--- a/internal/rollout/batch/move_test.go
+++ b/internal/rollout/batch/move_test.go
@@ -1,11 +1,15 @@
 package batch_test
 
 import (
+	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
 	"github.com/hyssopwall/hyssopwall/internal/rollout/batch"
 )
 
@@ -24,3 +28,124 @@
 	Entry("nor a second time for the same gain", 25, 65, 48, 2, false),
 	Entry("but further from an engine that has become several times slower", 10, 170, 48, 3, true),
 )
+
+const testGap = 40 * time.Millisecond // between two events of an undisturbed generation
+
+// windows generates the event intervals of an engine, with noise that makes it 2.5 times as
+// slow for 15% of the time, 0.6 s at a time, and calls each at the end of each window with
+// the intervals so far. From slowAt on the engine is 3.5 times as slow.
+func windows(seed uint64, slowAt time.Duration, each func(elapsed time.Duration, gaps []time.Duration)) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	var elapsed, started time.Duration
+	noiseAt := time.Duration(random.Float64() * float64(6800*time.Millisecond))
+	var gaps []time.Duration
+	for event := 1; elapsed < 7*time.Second; event++ {
+		gap := testGap
+		switch {
+		case elapsed >= slowAt:
+			gap = testGap * 7 / 2
+		case elapsed >= noiseAt+600*time.Millisecond:
+			noiseAt = elapsed + 1400*time.Millisecond + time.Duration(random.Float64()*float64(4*time.Second))
+		case elapsed >= noiseAt:
+			gap = testGap * 5 / 2
+		}
+		elapsed += gap
+		if event%5 == 0 {
+			gaps = append(gaps, (elapsed-started)/5)
+			started = elapsed
+			each(elapsed, gaps)
+		}
+	}
+}
+
+var _ = Describe("a generation that may be late", func() {
+	begin := time.Unix(1_800_000_000, 0)
+	progress := func(gaps []time.Duration, latestEnd time.Duration) batch.Progress {
+		return batch.Progress{Generated: 5 * len(gaps), Expected: 200, Gaps: gaps, Quickest: testGap, Runs: 1, LatestEnd: begin.Add(latestEnd)}
+	}
+
+	// All engines are alike. Guards against moves for noise, each of which costs a connection
+	// and reading the prompt again; the rule that looks at one window only causes some.
+	It("does not move for noise of 0.6 s, also when it is late", func() {
+		bySavedTime := 0
+		for seed := range uint64(40) {
+			windows(seed, time.Hour, func(elapsed time.Duration, gaps []time.Duration) {
+				if batch.MoveSavesTime(5*len(gaps), gaps[len(gaps)-1], testGap, 1) {
+					bySavedTime++
+				}
+				Expect(batch.MoveAvoidsLateness(begin.Add(elapsed), progress(gaps, time.Second))).To(BeFalse(), "seed %d at %v", seed, elapsed)
+			})
+		}
+		Expect(bySavedTime).To(BeNumerically(">", 40), "the noise must be strong enough to cause moves")
+	})
+
+	// Guards against a batch that waits for an engine that stays slow.
+	It("moves from an engine that stays slow, before it is late", func() {
+		for seed := range uint64(40) {
+			var movedAt time.Duration
+			windows(seed, 2*time.Second, func(elapsed time.Duration, gaps []time.Duration) {
+				if movedAt == 0 && batch.MoveAvoidsLateness(begin.Add(elapsed), progress(gaps, 5625*time.Millisecond)) {
+					movedAt = elapsed
+				}
+			})
+			Expect(movedAt).To(And(BeNumerically(">", 3*time.Second), BeNumerically("<", 4500*time.Millisecond)), "seed %d", seed)
+		}
+	})
+
+	DescribeTable("by its expected end", func(generated, expected, latestEnd int, want bool) {
+		gaps := slices.Repeat([]time.Duration{3 * testGap}, 4) // 2.4 s
+		p := progress(gaps, time.Duration(latestEnd)*time.Millisecond)
+		p.Generated, p.Expected = generated, float64(expected)
+		Expect(batch.MoveAvoidsLateness(begin.Add(2400*time.Millisecond), p)).To(Equal(want))
+	},
+		Entry("moves if its estimated length takes too long", 20, 60, 5600, true),
+		Entry("does not move if that ends in time", 20, 40, 5600, false),
+		Entry("goes on by a share of a text that has outgrown its estimate", 60, 40, 5600, true),
+		Entry("or that has none", 40, 0, 5600, false),
+	)
+
+	// Guards against moves between engines that are alike: one of them always appears faster.
+	It("does not move for a difference between two measurements", func() {
+		p := progress(slices.Repeat([]time.Duration{testGap}, 12), time.Second)
+		p.Quickest = testGap * 9 / 10
+		Expect(batch.MoveAvoidsLateness(begin.Add(2400*time.Millisecond), p)).To(BeFalse())
+	})
+
+	// Runs whole batches. Guards against a rule that is not applied, or applied to engines that
+	// report no work time or to a trainer that lags.
+	DescribeTable("in a batch", func(workTime int, due time.Duration, openBefore, slow, moves bool) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s := newSite(ctx, "h1")
+		s.gen.workTime, s.gen.lengths = workTime, map[string]int{"a1": 50}
+		s.gen.gap = func(server string, event int) time.Duration {
+			if server == "e1" && event > 25 && (slow || event <= 32) {
+				return 3 * testGap
+			}
+			return testGap
+		}
+		if openBefore {
+			s.gen.hold = map[string]chan struct{}{"b1": make(chan struct{})}
+			Expect(s.batches("h1").Accept(ctx, submission("earlier", "b1"))).To(Succeed())
+			Eventually(func() string { return s.gen.server("b1") }, patience).ShouldNot(BeEmpty())
+			time.Sleep(2 * time.Millisecond) // submissions are told apart by milliseconds
+		}
+		quick, ok := s.batches("h1").Pool.Pick(time.Now(), pool.Need{Service: "llm", Avoid: []string{"e1"}})
+		Expect(ok).To(BeTrue())
+		quick.RecordEventInterval(time.Now(), testGap*3/2) // more than testGap takes on a busy machine
+		// Two more requests at e2, so that the batch starts on e1.
+		_, _ = s.batches("h1").Pool.Pick(time.Now(), pool.Need{Service: "llm", Avoid: []string{"e1"}})
+		submitted := submission("one", "a1")
+		submitted.Due = due
+		Expect(s.batches("h1").Accept(ctx, submitted)).To(Succeed())
+		Eventually(func() []string { return s.listed("h1", "one") }, patience).Should(HaveLen(1))
+		Expect(len(s.gen.resumed("a1")) > 1).To(Equal(moves))
+	},
+		Entry("does not move for noise, also when it is late", 100, time.Second, false, false, false),
+		Entry("moves from an engine that stays slow when it is late", 100, time.Second, false, true, true),
+		Entry("does not move when it is in time", 100, time.Minute, false, true, false),
+		Entry("moves as soon as that saves time if the trainer still waits for an earlier batch", 100, time.Minute, true, false, true),
+		Entry("as before if the engines report no work time", 0, time.Minute, false, false, true),
+		Entry("as before if the route has no completion target", 100, time.Duration(0), false, false, true),
+	)
+})
--- a/internal/rollout/batch/work.go
+++ b/internal/rollout/batch/work.go
@@ -37,6 +37,9 @@
 	submitted     int64     // see Record
 	previousOwner string    // empty for the first owner
 	expires       time.Time // when the items may be given up
+	due           time.Time // see dueTime
+	latestEnd     time.Time // see latestEnd
+	lagging       bool      // see trainerLags
 	cancel        context.CancelFunc
 
 	lastWrite time.Time // end of the latest write; used only by run
@@ -48,6 +51,7 @@
 	lastCatchUp time.Time
 	readError   error              // error of the latest catchUp
 	listed      map[string]bool    // items with a published result
+	deliveredAt time.Time          // see noteDelivery; zero before
 	changed     chan struct{}      // closed and replaced when published grows
 	itemIDs     map[string]bool    // all items of the batch
 	itemRuns    map[string]itemRun // generations in progress, by item
@@ -57,9 +61,10 @@
 }
 
 func newWorker(b *Batches, batch Batch, record Record, log []Result, chunks int) *worker {
+	now := time.Now()
 	w := &worker{
 		Batches: b, batch: batch, epoch: record.Epoch, submitted: record.Submitted, previousOwner: record.PreviousOwner, published: log, chunks: chunks,
-		expires:    expiry(batch, record, time.Now()),
+		expires: expiry(batch, record, now), due: dueTime(batch, record, now), latestEnd: latestEnd(batch, record, now),
 		listed:     make(map[string]bool, len(batch.Items)),
 		changed:    make(chan struct{}),
 		itemIDs:    make(map[string]bool, len(batch.Items)),
@@ -74,6 +79,7 @@
 	for _, result := range log {
 		w.listed[result.ID] = true
 	}
+	w.noteDelivery(now)
 	return w
 }
 
@@ -268,6 +274,7 @@
 	for _, r := range results {
 		w.listed[r.ID] = true
 	}
+	w.noteDelivery(time.Now())
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
--- a/internal/site/policy/policy.go
+++ b/internal/site/policy/policy.go
@@ -41,7 +41,7 @@
 // also the time until a hedge while the forwarder has measured too few responses. Attempts
 // is the maximum number of backend servers that one request is sent to, or of failures of
 // a batch item; zero counts as 1. Items of a batch whose ItemTTL is zero may fail at once.
-// Resumable and CompletionTarget are decoded, but not applied.
+// Resumable is decoded, but not applied.
 type Route struct {
 	Name             string
 	Host             string
