--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -73,8 +73,11 @@
 
 // Load is the number of requests that a server reports in a response as running and
 // waiting, and its slots. Selection counts the slots of the platform's list instead.
+// WorkTime is how long work takes on the machine at this moment in percent of the normal
+// time, zero if the server does not report it.
 type Load struct {
 	Running, Waiting, Slots int
+	WorkTime                int
 }
 
 // Need describes the server that a request requires.
@@ -99,6 +102,9 @@
 	drained map[instance]struct{} // instances that were listed as draining
 	silent  map[string]bool       // silent zones
 	hasList bool
+
+	sendsWorkTime map[string]bool // services of which a server has reported a work time
+
 	changed chan struct{}
 }
 
