Limit the requests to cold servers across all hosts

A server that has just started crashes when it gets many more requests than it can take while it is cold; four owners of batches together sent 20 to 36 in a second.

--- a/internal/backend/pool/commands.go
+++ b/internal/backend/pool/commands.go
@@ -94,9 +94,11 @@
 	if _, left := p.leaving[s.instance()]; left {
 		s.Draining = true
 	}
+	warmUp := p.merged(old, s)
 	if old == nil || old.Boot != s.Boot || old.Address != s.Address {
-		return &entry{Server: s}
+		return &entry{Server: s, warmUp: warmUp}
 	}
+	old.warmUp = warmUp
 	for model, version := range old.Versions {
 		if s.Versions[model] != version {
 			old.prefixes = nil // loading other weights clears the prefix cache
@@ -111,6 +113,7 @@
 // new version before the platform's list does. The next Put or Replace overwrites it.
 func (c *Choice) ObserveVersion(model string, version uint64) {
 	c.update(func(e *entry) {
+		c.answered(e)
 		if version <= e.Versions[model] {
 			return
 		}
@@ -128,13 +131,17 @@
 
 // RecordLoad records the load that a response reported.
 func (c *Choice) RecordLoad(now time.Time, load Load) {
-	c.update(func(e *entry) { e.reported, e.reportedAt, e.ownAtReport = load, now, e.ownRequests })
+	c.update(func(e *entry) {
+		c.answered(e)
+		e.reported, e.reportedAt, e.ownAtReport = load, now, e.ownRequests
+	})
 }
 
 // RecordEventInterval adds the time between two events of a generation to the
 // server's moving average, which starts anew after eventIntervalTTL without one.
 func (c *Choice) RecordEventInterval(now time.Time, interval time.Duration) {
 	c.update(func(e *entry) {
+		c.answered(e)
 		if e.eventInterval == 0 || now.Sub(e.intervalAt) >= eventIntervalTTL {
 			e.eventInterval = interval
 		} else {
@@ -156,7 +163,7 @@
 		if e.Name == c.Server.Name || !known || least > 0 && e.eventInterval >= least {
 			continue
 		}
-		if e.eligible(now, need) && e.load(now) < float64(e.slots()) {
+		if e.eligible(now, need) && e.load(now) < float64(e.slots()) && p.accepts(now, e) {
 			least = e.eventInterval
 		}
 	}
@@ -166,7 +173,10 @@
 // RecordSuccess resets the failure count of the server, so that its next backoff is
 // the shortest.
 func (c *Choice) RecordSuccess() {
-	c.update(func(e *entry) { e.failures = 0 })
+	c.update(func(e *entry) {
+		c.answered(e)
+		e.failures = 0
+	})
 }
 
 // KeepConnection records that the request's connection stays open. It must be
@@ -198,6 +208,7 @@
 		wait := min(initialBackoff<<min(e.failures, 8), maxBackoff)
 		e.failures++
 		c.backOff(e, now, wait)
+		e.warmUp.RecordFailure(c.pool.now())
 		e.prefixes = nil
 	})
 }
@@ -207,6 +218,7 @@
 	c.once.Do(func() {
 		c.update(func(e *entry) {
 			e.ownRequests--
+			c.unselect(e)
 			if c.keepConnection {
 				e.idleConnections++
 			}
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -21,6 +21,7 @@
 //     only a few requests a minute and would open a new connection for most of them.
 //  7. A server whose load reaches its slots plus the queue allowance is not
 //     selected: the caller waits or refuses the request.
+//  8. A server that is cold is selected only as package warmup allows.
 package pool
 
 import (
@@ -28,6 +29,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/warmup"
 )
 
 // Weights and time limits of the selection. Bonuses and penalties are in units of
@@ -61,6 +64,8 @@
 	Spot     bool // the platform may reclaim the server
 	Boot     int64
 	Versions map[string]uint64 // weights version by model
+	// WarmUpLeft is how long the server is still cold; see package warmup.
+	WarmUpLeft time.Duration
 }
 
 // instance identifies one start of a server.
@@ -91,7 +96,8 @@
 // Pool holds the servers and their state. It is safe for concurrent use. Zone is
 // the zone of this host. The zero value is an empty pool.
 type Pool struct {
-	Zone string
+	Zone  string
+	Hooks Hooks
 
 	mu      sync.Mutex
 	servers map[string]*entry
@@ -99,6 +105,7 @@
 	drained map[instance]struct{} // instances that were listed as draining
 	hasList bool
 	changed chan struct{}
+	warming warming
 }
 
 // entry is a listed server and its state on this host.
@@ -115,6 +122,7 @@
 	prefixes        map[string]time.Time // prefixes assumed to be cached, with their expiry
 	eventInterval   time.Duration        // average time between the events of a generation; zero if unknown
 	intervalAt      time.Time
+	warmUp          warmup.State
 }
 
 // Choice is a server selected for a request. The request counts against the
@@ -124,18 +132,21 @@
 	pool           *Pool
 	once           sync.Once
 	keepConnection bool // the connection stays open after the request
+	selected       bool // the request waits to be sent
+	sent           bool // Check has succeeded
 }
 
-// Check returns a *LeftError if the request must no longer be sent to the selected
-// server: the server may have started to leave or have been replaced while the
-// request waited for a connection.
+// Check returns a *LeftError or a *ColdError if the request must no longer be sent to the
+// selected server: the server may have started to leave, have been replaced or have turned
+// cold while the request waited for a connection. Otherwise it counts the request as sent.
 func (c *Choice) Check() error {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	if e := c.pool.current(c.Server.instance()); e == nil || e.Draining {
+	e := c.pool.current(c.Server.instance())
+	if e == nil || e.Draining {
 		return &LeftError{Server: c.Server.Name}
 	}
-	return nil
+	return c.admitSend(e)
 }
 
 // LeftError reports that a server left, or is leaving, after it was selected.
@@ -226,6 +237,9 @@
 		if load >= float64(e.slots()+need.QueueAllowance) {
 			continue // rule 7
 		}
+		if !p.accepts(now, e) {
+			continue // rule 8
+		}
 		cost := p.cost(now, e, load, need) + e.slowness(now, shortest)*slownessWeight(need.ExpectedTokens)
 		if best == nil || cost < least || cost == least && e.Name < best.Name {
 			best, least = e, cost
@@ -238,7 +252,8 @@
 	best.idleConnections = max(0, best.idleConnections-1)
 	best.connectionUsed = now
 	best.addPrefix(now, need.Prefix)
-	return &Choice{Server: best.Server, pool: p}, true
+	best.warmUp.Select()
+	return &Choice{Server: best.Server, pool: p, selected: true}, true
 }
 
 // cost returns the load per slot of a server less its bonuses (rules 2 to 4 and 6).
@@ -328,13 +343,14 @@
 }
 
 // UsableCount returns the number of servers of the service that are not draining
-// and hold recent enough weights: rule 1 without the backoff and without Avoid.
+// and hold recent enough weights: rule 1 without the backoff and without Avoid. Cold servers
+// count only on the host that sends to them.
 func (p *Pool) UsableCount(need Need) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	count := 0
+	count, now := 0, p.now()
 	for _, e := range p.servers {
-		if e.Service == need.Service && !e.Draining && (need.MinVersion == 0 || e.Versions[need.Model] >= need.MinVersion) {
+		if e.fits(need) && p.mayUse(now, e) {
 			count++
 		}
 	}
@@ -346,7 +362,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.servers {
-		if e.eligible(now, need) && 2*e.load(now) < float64(e.slots()) {
+		if e.eligible(now, need) && 2*e.load(now) < float64(e.slots()) && p.accepts(now, e) {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/backend/pool/warmup.go
@@ -0,0 +1,214 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/warmup"
+)
+
+// Hooks connect a pool to the host that it belongs to. All are optional, must not block and
+// must not call the pool.
+type Hooks struct {
+	// Now returns the time at which entries and answers arrive; nil means time.Now.
+	Now func() time.Time
+	// ViewAge returns the age of this host's view of the store; nil means that it is current.
+	ViewAge func() time.Duration
+	// Rank returns the position of this host, from 0, among the possible senders of the
+	// server's service, in an order that depends on the start of the server; nil means that it
+	// is the first.
+	Rank func(s Server) int
+	// CheckHealth starts a health check of a server, whose end is reported by RecordHealth.
+	CheckHealth func(s Server, started time.Time)
+}
+
+// warming holds what a pool knows of the warm-up of servers. The zero value has no limits.
+type warming struct {
+	rules map[string]warmup.Rules // by service, only those that apply
+	stops int                     // requests that were stopped just before they were sent
+}
+
+// ColdError reports that a server may get no request of this host now, because it is cold or
+// may be.
+type ColdError struct {
+	Server string
+}
+
+func (e *ColdError) Error() string { return "server " + e.Server + " is warming up" }
+
+// SetWarmUps replaces the limits on cold servers, by service.
+func (p *Pool) SetWarmUps(rules map[string]warmup.Rules) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.warming.rules = rules
+	p.notify()
+}
+
+// SetWarmUpLeft records the warm-up left that an instance of a server named in a response. It
+// reports whether the server was not known to be cold and is.
+func (p *Pool) SetWarmUpLeft(s Server, left time.Duration) (turnedCold bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.current(s.instance()); e != nil {
+		turnedCold = e.warmUp.SetTold(p.now(), left)
+	}
+	return turnedCold && p.warming.rules[s.Service].Apply()
+}
+
+// RecordHealth records the end of a health check of an instance of a server, which started at
+// the given time. It notifies waiters if the server answered.
+func (p *Pool) RecordHealth(s Server, started time.Time, answered bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.current(s.instance()); e != nil && answered {
+		e.warmUp.EndCheck(p.now(), started)
+		p.notify()
+	}
+}
+
+// WarmUpCounts returns the number of servers that are cold and the number of requests that
+// were stopped just before they were sent because their server was cold or evacuated.
+func (p *Pool) WarmUpCounts() (cold, stopped int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	for _, e := range p.servers {
+		if rules := p.warming.rules[e.Service]; e.warmUp.IsCold(now, rules, p.view(e)) {
+			cold++
+		}
+	}
+	return cold, p.warming.stops
+}
+
+// Closed reports whether there are servers for a need, and all of them are closed to requests
+// because they are cold. Left is the shortest warm-up left.
+func (p *Pool) Closed(now time.Time, need Need) (left time.Duration, closed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.servers {
+		if !e.fits(need) {
+			continue
+		}
+		view, rules := p.view(e), p.warming.rules[e.Service]
+		if !e.warmUp.IsCold(now, rules, view) {
+			return 0, false
+		}
+		remaining := e.warmUp.ColdUntil(rules, view).Sub(now)
+		if !closed || remaining < left {
+			left = remaining
+		}
+		closed = true
+	}
+	return left, closed
+}
+
+// now returns the time by Hooks.Now.
+func (p *Pool) now() time.Time {
+	if p.Hooks.Now == nil {
+		return time.Now()
+	}
+	return p.Hooks.Now()
+}
+
+// view returns what this host knows beyond the server itself. The caller holds the lock.
+func (p *Pool) view(e *entry) warmup.View {
+	view := warmup.View{Rank: func() int { return p.rank(e.Server) }}
+	if p.Hooks.ViewAge != nil {
+		view.Age = p.Hooks.ViewAge()
+	}
+	return view
+}
+
+// rank returns the position of this host among the possible senders to a server.
+func (p *Pool) rank(s Server) int {
+	if p.Hooks.Rank == nil {
+		return 0
+	}
+	return p.Hooks.Rank(s)
+}
+
+// accepts reports whether a server may get a request of this host now as far as its warm-up
+// is concerned, and starts a health check if one is needed. The caller holds the lock.
+func (p *Pool) accepts(now time.Time, e *entry) bool {
+	rules, limited := p.warming.rules[e.Service]
+	if !limited {
+		return true
+	}
+	decision := e.warmUp.Decide(now, rules, p.view(e))
+	p.checkHealth(now, e, decision)
+	return decision.Send
+}
+
+// checkHealth starts a health check if a decision asks for it. The caller holds the lock.
+func (p *Pool) checkHealth(now time.Time, e *entry, decision warmup.Decision) {
+	if decision.Check && p.Hooks.CheckHealth != nil {
+		e.warmUp.BeginCheck(now)
+		p.Hooks.CheckHealth(e.Server, now)
+	}
+}
+
+// admitSend repeats the decision of Pick just before a request is sent, and records the send.
+// The caller holds the lock.
+func (c *Choice) admitSend(e *entry) error {
+	p := c.pool
+	now := p.now()
+	rules := p.warming.rules[e.Service]
+	if rules.Apply() {
+		decision := e.warmUp.DecideSend(now, rules, p.view(e))
+		p.checkHealth(now, e, decision)
+		if !decision.Send {
+			p.warming.stops++
+			return &ColdError{Server: e.Name}
+		}
+		e.warmUp.RecordSend(now, rules)
+	}
+	c.unselect(e)
+	c.sent = true
+	return nil
+}
+
+// unselect ends the count of a request that waits to be sent. The caller holds the lock.
+func (c *Choice) unselect(e *entry) {
+	if c.selected {
+		e.warmUp.Unselect()
+		c.selected = false
+	}
+}
+
+// answered records that the server has answered the request, and notifies waiters if it had
+// been silent. The caller holds the lock.
+func (c *Choice) answered(e *entry) {
+	now := c.pool.now()
+	silent := e.warmUp.IsSilent(now)
+	e.warmUp.RecordAnswer(now)
+	if silent && c.pool.warming.rules[e.Service].Apply() {
+		c.pool.notify()
+	}
+}
+
+// fits reports whether the server can ever run a request: rule 1 without the backoff and
+// without Avoid.
+func (e *entry) fits(need Need) bool {
+	return e.Service == need.Service && !e.Draining && (need.MinVersion == 0 || e.Versions[need.Model] >= need.MinVersion)
+}
+
+// mayUse reports whether this host may send to a server at all: it is warm, or this host is
+// the one that sends to it. The caller holds the lock.
+func (p *Pool) mayUse(now time.Time, e *entry) bool {
+	rules := p.warming.rules[e.Service]
+	view := p.view(e)
+	return !e.warmUp.IsCold(now, rules, view) || view.Rank() == 0
+}
+
+// merged returns the warm-up state for a newly listed server, of which old is the previous
+// entry, if any. The caller holds the lock.
+func (p *Pool) merged(old *entry, s Server) warmup.State {
+	var state warmup.State
+	if old != nil {
+		state = old.warmUp
+		if old.Boot != s.Boot || old.Address != s.Address {
+			state = old.warmUp.Restarted()
+		}
+	}
+	state.SetListed(p.now(), s.WarmUpLeft)
+	return state
+}
--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -169,6 +169,21 @@
 	return rank
 }
 
+// RankAmong returns the position of this host, from 0, among the named hosts in the order of
+// Rank, and false if it is not one of them.
+func (d *Directory) RankAmong(key string, names []string) (int, bool) {
+	own, rank, found := score(key, d.Self.Name), 0, false
+	for _, name := range names {
+		switch {
+		case name == d.Self.Name:
+			found = true
+		case score(key, name) > own:
+			rank++
+		}
+	}
+	return rank, found
+}
+
 // First returns the names of the first count hosts in the order of Rank. This host may be
 // among them.
 func (d *Directory) First(key string, count int) []string {
--- a/internal/host/node/follow.go
+++ b/internal/host/node/follow.go
@@ -40,6 +40,7 @@
 			}
 		},
 		Handle: func(change object.Change) {
+			n.recordView(change.AsOf)
 			handle(change)
 			mirror.ApplyChange(change, source.Level())
 			if source.Level() > peer.LevelStore {
@@ -61,6 +62,7 @@
 		n.Log.Emit(event.WatchFailed, "entry", prefix, "ms", (n.clock() - asOf).Milliseconds(), "err", err.Error())
 		return // the follower goes on
 	}
+	n.recordView(asOf)
 	handle(object.Change{Batch: batch, Complete: true, AsOf: asOf})
 }
 
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -49,6 +49,9 @@
 	Metrics string
 	// ShutdownGrace is the maximum duration of a planned stop.
 	ShutdownGrace time.Duration
+	// WarmUpOverage and WarmUpSlack extend the requests per second that a cold server can
+	// take: it may get WarmUpOverage times as many and WarmUpSlack more.
+	WarmUpOverage, WarmUpSlack float64
 	// Bootstrap says that the whole site is starting for the first time. The host then
 	// waits for a moment before it reads the list of hosts.
 	Bootstrap bool
@@ -212,6 +215,7 @@
 	reporter         *tally.Reporter
 	coordinator      *release.Coordinator
 	policy           atomic.Pointer[policy.Policy]
+	viewKnown        atomic.Int64 // time by clock at which a followed prefix was last known to be current
 	policyKnown      atomic.Int64 // time by clock at which the configuration was last known to be current
 	draining         atomic.Bool
 	drainingSince    atomic.Int64    // time by clock at which a planned stop began
@@ -269,6 +273,7 @@
 		StoreReachable: func() bool { return n.policyAge() < maxReachableAge }, RetryAfter: n.outageRetryAfter,
 		Log: n.Log, Meter: n.Meter,
 	}
+	n.connectPool()
 	n.registerGauges()
 	n.newDutyWorkers()
 	return n
--- /dev/null
+++ b/internal/host/node/warmup.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
+	"github.com/hyssopwall/hyssopwall/internal/backend/warmup"
+	"github.com/hyssopwall/hyssopwall/internal/site/event"
+	"github.com/hyssopwall/hyssopwall/internal/site/policy"
+)
+
+// notSender is the rank of a host that is not a possible sender of a service.
+const notSender = math.MaxInt
+
+// connectPool connects the pool to what this host knows about the store, the other hosts and
+// the health of servers.
+func (n *Node) connectPool() {
+	n.Pool.Hooks = pool.Hooks{ViewAge: n.viewAge, Rank: n.senderRank, CheckHealth: n.startHealthCheck}
+}
+
+// startHealthCheck checks the health of a server in the background and reports the result to
+// the pool.
+func (n *Node) startHealthCheck(server pool.Server, started time.Time) {
+	go func() {
+		ctx, cancel := context.WithTimeout(n.ending, healthCheckTimeout)
+		defer cancel()
+		err := n.Platform.CheckHealth(ctx, server, n.healthPath(server.Service))
+		n.Pool.RecordHealth(server, started, err == nil)
+	}()
+}
+
+// recordView records that a followed prefix was current at a time by clock.
+func (n *Node) recordView(asOf time.Duration) {
+	for {
+		known := n.viewKnown.Load()
+		if int64(asOf) <= known || n.viewKnown.CompareAndSwap(known, int64(asOf)) {
+			return
+		}
+	}
+}
+
+// viewAge returns the time since any followed prefix was last known to be current.
+func (n *Node) viewAge() time.Duration { return n.clock() - time.Duration(n.viewKnown.Load()) }
+
+// senderRank returns the position of this host among the possible senders to a start of a
+// server, notSender if it is none of them. The possible senders to an engine are the owners
+// of open batches of its service, those to another server are all hosts.
+func (n *Node) senderRank(server pool.Server) int {
+	key := server.Name + "\x00" + strconv.FormatInt(server.Boot, 10)
+	if !n.isEngineService(server.Service) {
+		return n.Directory.Rank(key)
+	}
+	if rank, ok := n.Directory.RankAmong(key, n.Batches.Owners(server.Service)); ok {
+		return rank
+	}
+	return notSender
+}
+
+// isEngineService reports whether the servers of a service are engines.
+func (n *Node) isEngineService(name string) bool {
+	if p := n.Policy(); p != nil {
+		for _, s := range p.Services {
+			if s.Name == name {
+				return len(s.Models) > 0
+			}
+		}
+	}
+	return false
+}
+
+// applyWarmUps passes the limits on cold servers to the pool. An invalid limit is ignored.
+func (n *Node) applyWarmUps(p *policy.Policy) {
+	rules := map[string]warmup.Rules{}
+	for _, s := range p.Services {
+		if err := checkWarmUp(s); err != nil {
+			n.Log.Emit(event.WarmUpIgnored, "service", s.Name, "version", p.Version, "err", err.Error())
+			continue
+		}
+		if s.WarmUpRate > 0 {
+			rules[s.Name] = warmup.Rules{
+				Rate: s.WarmUpRate, Time: s.WarmUpTime,
+				Overage: n.Settings.WarmUpOverage, Slack: n.Settings.WarmUpSlack,
+			}
+		}
+	}
+	n.Pool.SetWarmUps(rules)
+}
+
+// checkWarmUp validates the warm-up of a service.
+func checkWarmUp(s policy.Service) error {
+	switch {
+	case s.WarmUpRate < 0:
+		return errors.New("negative rate of a cold server")
+	case s.WarmUpTime < 0 || s.WarmUpTime > warmup.MaxLeft:
+		return errors.New("time of a warm-up out of range")
+	}
+	return nil
+}
+
+// SetServerWarmUp records the warm-up left that a backend server named in a response.
+func (n *Node) SetServerWarmUp(server pool.Server, left time.Duration) {
+	if n.Pool.SetWarmUpLeft(server, left) {
+		n.Log.Emit(event.ServerCold, "server", server.Name, "service", server.Service, "boot", server.Boot, "ms", left.Milliseconds())
+	}
+}
--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -123,6 +123,7 @@
 type Record struct {
 	Workspace     string `json:"workspace"`
 	Route         string `json:"route"`
+	Service       string `json:"service,omitempty"` // that generates; empty in records of earlier releases
 	Model         string `json:"model,omitempty"`
 	MinVersion    uint64 `json:"floor,omitempty"` // oldest weights version that may generate
 	Step          int    `json:"step,omitempty"`
--- a/internal/rollout/batch/commands.go
+++ b/internal/rollout/batch/commands.go
@@ -34,7 +34,7 @@
 	}
 	owner, incarnation := b.chooseOwner(ctx, batch)
 	record := Record{
-		Workspace: batch.Workspace, Route: batch.Route, Model: batch.Model, MinVersion: batch.MinVersion, Step: batch.Step,
+		Workspace: batch.Workspace, Route: batch.Route, Service: batch.Service, Model: batch.Model, MinVersion: batch.MinVersion, Step: batch.Step,
 		Tokens: batch.Tokens(), Total: len(batch.Items), Parts: len(body.parts), Body: body.digest,
 		Submitted: time.Now().UnixMilli(), Owner: owner, Incarnation: incarnation, Epoch: 1,
 	}
--- a/internal/rollout/batch/queries.go
+++ b/internal/rollout/batch/queries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -217,6 +218,20 @@
 	return BodyReply{Owned: true, Found: found, Body: body}
 }
 
+// Owners returns the hosts that may send requests of batches to the servers of a service: the
+// owners of all batches of the service that have not ended, as far as this host knows.
+func (b *Batches) Owners(service string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var owners []string
+	for _, k := range b.known {
+		if !k.Ended && k.Owner != "" && (k.Service == service || k.Service == "") && !slices.Contains(owners, k.Owner) {
+			owners = append(owners, k.Owner)
+		}
+	}
+	return owners
+}
+
 // Demand is the expected demand of the next batches of a model, taken from the latest one.
 // Tokens is the estimated number of tokens of a batch. VersionLag is the number of versions
 // by which weights may be older than the newest; it is valid if VersionLagKnown is set.
--- a/internal/site/event/site.go
+++ b/internal/site/event/site.go
@@ -22,6 +22,8 @@
 	ServerLeaving
 	RequestsCut
 	ServerSilent
+	ServerCold
+	WarmUpIgnored
 )
 
 func siteEvents() []Entry {
@@ -44,5 +46,7 @@
 		{ServerLeaving, Info, "backend server leaving", "It announced this in a response; this host sends it no new requests until it restarts.", "Nothing."},
 		{RequestsCut, Warning, "requests cut by the end of the host", "Their responses could not be written before the process had to exit.", "Allow a longer planned stop if this repeats."},
 		{ServerSilent, Info, "backend server silent", "A request that this host gave up was at a server that answers no health check either, or has restarted.", "Check the named server if this repeats."},
+		{ServerCold, Info, "backend server cold", "It said in a response that it is warming up; it gets only a few requests per second until then.", "Nothing."},
+		{WarmUpIgnored, Warning, "invalid warm-up ignored", "The configuration names a negative or impossible warm-up for the service, which now has no limit.", "Correct cold_per_s and cold_start_s of the named service."},
 	}
 }
--- a/internal/site/policy/policy.go
+++ b/internal/site/policy/policy.go
@@ -74,6 +74,8 @@
 	MaxConnections int    // per backend server, zero for no limit
 	Models         []string
 	Scale          *Scale
+	WarmUpTime     time.Duration // how long a server is cold after a start
+	WarmUpRate     float64       // requests per second that a cold server can take, zero for no limit
 }
 
 // Scale configures how many backend servers of a service are ordered per zone. It is
