Send nothing to servers in evacuated zones

Hosts follow the entries evacuations/ZONE if the settings have evacuate_ms. The check just before a send covers requests that wait for a connection; weight loads and health checks leave these zones out too. A starting host reads the evacuations before its first send.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -21,7 +21,8 @@
 //     only a few requests a minute and would open a new connection for most of them.
 //  7. A server whose load reaches its slots plus the queue allowance is not
 //     selected: the caller waits or refuses the request.
-//  8. A server that is cold is selected only as package warmup allows.
+//  8. A server in an evacuated zone is not selected, and one that is cold only as package
+//     warmup allows.
 package pool
 
 import (
@@ -106,6 +107,8 @@
 	hasList bool
 	changed chan struct{}
 	warming warming
+
+	evacuations evacuations
 }
 
 // entry is a listed server and its state on this host.
@@ -136,9 +139,10 @@
 	sent           bool // Check has succeeded
 }
 
-// Check returns a *LeftError or a *ColdError if the request must no longer be sent to the
-// selected server: the server may have started to leave, have been replaced or have turned
-// cold while the request waited for a connection. Otherwise it counts the request as sent.
+// Check returns a *LeftError, an *EvacuatedError or a *ColdError if the request must no
+// longer be sent to the selected server: the server may have started to leave, have been
+// replaced, evacuated or have turned cold while the request waited for a connection. Otherwise
+// it counts the request as sent.
 func (c *Choice) Check() error {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
@@ -343,8 +347,8 @@
 }
 
 // UsableCount returns the number of servers of the service that are not draining
-// and hold recent enough weights: rule 1 without the backoff and without Avoid. Cold servers
-// count only on the host that sends to them.
+// and hold recent enough weights: rule 1 without the backoff and without Avoid. Servers in
+// evacuated zones don't count, and cold ones only on the host that sends to them.
 func (p *Pool) UsableCount(need Need) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/backend/pool/warmup.go
+++ b/internal/backend/pool/warmup.go
@@ -80,7 +80,7 @@
 }
 
 // Closed reports whether there are servers for a need, and all of them are closed to requests
-// because they are cold. Left is the shortest warm-up left.
+// because they are cold or evacuated. Left is the shortest time after which one may be open.
 func (p *Pool) Closed(now time.Time, need Need) (left time.Duration, closed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -89,10 +89,13 @@
 			continue
 		}
 		view, rules := p.view(e), p.warming.rules[e.Service]
-		if !e.warmUp.IsCold(now, rules, view) {
-			return 0, false
+		remaining := evacuationRetry
+		if !p.evacuations.isClosed(e.Zone) {
+			if !e.warmUp.IsCold(now, rules, view) {
+				return 0, false
+			}
+			remaining = e.warmUp.ColdUntil(rules, view).Sub(now)
 		}
-		remaining := e.warmUp.ColdUntil(rules, view).Sub(now)
 		if !closed || remaining < left {
 			left = remaining
 		}
@@ -101,6 +104,10 @@
 	return left, closed
 }
 
+// evacuationRetry is the time after which Closed expects an evacuation to end, which nobody
+// announces.
+const evacuationRetry = time.Second
+
 // now returns the time by Hooks.Now.
 func (p *Pool) now() time.Time {
 	if p.Hooks.Now == nil {
@@ -111,7 +118,7 @@
 
 // view returns what this host knows beyond the server itself. The caller holds the lock.
 func (p *Pool) view(e *entry) warmup.View {
-	view := warmup.View{Rank: func() int { return p.rank(e.Server) }}
+	view := warmup.View{Rank: func() int { return p.rank(e.Server) }, Since: p.evacuations.ended[e.Zone]}
 	if p.Hooks.ViewAge != nil {
 		view.Age = p.Hooks.ViewAge()
 	}
@@ -126,9 +133,13 @@
 	return p.Hooks.Rank(s)
 }
 
-// accepts reports whether a server may get a request of this host now as far as its warm-up
-// is concerned, and starts a health check if one is needed. The caller holds the lock.
+// accepts reports whether a server may get a request of this host now as far as its zone and
+// its warm-up are concerned, and starts a health check if one is needed. The caller holds the
+// lock.
 func (p *Pool) accepts(now time.Time, e *entry) bool {
+	if p.evacuations.isClosed(e.Zone) {
+		return false
+	}
 	rules, limited := p.warming.rules[e.Service]
 	if !limited {
 		return true
@@ -150,6 +161,10 @@
 // The caller holds the lock.
 func (c *Choice) admitSend(e *entry) error {
 	p := c.pool
+	if p.evacuations.isClosed(e.Zone) {
+		p.warming.stops++
+		return &EvacuatedError{Server: e.Name, Zone: e.Zone}
+	}
 	now := p.now()
 	rules := p.warming.rules[e.Service]
 	if rules.Apply() {
@@ -191,9 +206,12 @@
 	return e.Service == need.Service && !e.Draining && (need.MinVersion == 0 || e.Versions[need.Model] >= need.MinVersion)
 }
 
-// mayUse reports whether this host may send to a server at all: it is warm, or this host is
-// the one that sends to it. The caller holds the lock.
+// mayUse reports whether this host may send to a server at all: its zone is not evacuated, and
+// it is warm or this host is the one that sends to it. The caller holds the lock.
 func (p *Pool) mayUse(now time.Time, e *entry) bool {
+	if p.evacuations.isClosed(e.Zone) {
+		return false
+	}
 	rules := p.warming.rules[e.Service]
 	view := p.view(e)
 	return !e.warmUp.IsCold(now, rules, view) || view.Rank() == 0
--- a/internal/entry/forward/send.go
+++ b/internal/entry/forward/send.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		if left, closed := r.Pool.Closed(time.Now(), r.need()); closed {
-			return &RefusedError{Reason: "all servers of " + r.service + " are warming up", RetryAfter: min(max(left, retryAfterFull), retryAfterNoServer)}
+			return &RefusedError{Reason: "all servers of " + r.service + " are warming up or evacuated", RetryAfter: min(max(left, retryAfterFull), retryAfterNoServer)}
 		}
 		if r.Pool.UsableCount(r.need()) == 0 {
 			return &RefusedError{Reason: "no server of " + r.service, RetryAfter: retryAfterNoServer}
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -52,6 +52,9 @@
 	// WarmUpOverage and WarmUpSlack extend the requests per second that a cold server can
 	// take: it may get WarmUpOverage times as many and WarmUpSlack more.
 	WarmUpOverage, WarmUpSlack float64
+	// EvacuationLimit is the time from which on no request may get to a zone after its
+	// evacuation was ordered. Zero means that the platform orders none.
+	EvacuationLimit time.Duration
 	// Bootstrap says that the whole site is starting for the first time. The host then
 	// waits for a moment before it reads the list of hosts.
 	Bootstrap bool
@@ -65,6 +68,7 @@
 	Servers     string // prefix of the entries of backend servers
 	Releases    string // prefix of the released weights versions
 	Retirements string // prefix of the hosts with a disk that are to be emptied
+	Evacuations string // prefix of the zones to which no request may be sent
 }
 
 // Platform holds the parts of the platform that a host uses: its store, decoders of the
@@ -230,6 +234,7 @@
 	resumesDuty      atomic.Bool     // an earlier process of this host held the duty last and has not released it
 	policyUnreadable bool            // the newest configuration is invalid; used by its follower only
 	retiredHosts     map[string]bool // retirements that have been completed; used by their follower only
+	evacuated        map[string]bool // evacuated zones; used by their follower only
 	hostsListed      chan struct{}   // closed once the list of hosts is known
 	hostsListedOnce  sync.Once       // closes hostsListed
 	done             chan struct{}
@@ -241,7 +246,7 @@
 
 // New assembles a host. Run starts it.
 func New(settings Settings, platform Platform, log event.Log) *Node {
-	n := &Node{Settings: settings, Platform: platform, Log: log, Incarnation: uint64(time.Now().UnixNano()), timeSource: lease.BootClock{}, hostsListed: make(chan struct{}), done: make(chan struct{}), retiredHosts: map[string]bool{}}
+	n := &Node{Settings: settings, Platform: platform, Log: log, Incarnation: uint64(time.Now().UnixNano()), timeSource: lease.BootClock{}, hostsListed: make(chan struct{}), done: make(chan struct{}), retiredHosts: map[string]bool{}, evacuated: map[string]bool{}}
 	n.startedAt = n.clock()
 	n.ending, n.end = context.WithCancel(context.Background()) //nolint:gosec // shutDown calls it
 	n.outage.LossTimeout = outageLogDelay
@@ -261,6 +266,10 @@
 	} {
 		n.mirrors[prefix] = &peer.Mirror{Now: n.clock, MaxUpdateAge: wait + mirrorSilenceMargin}
 	}
+	if settings.EvacuationLimit > 0 {
+		n.mirrors[platform.Keys.Evacuations] = &peer.Mirror{Now: n.clock, MaxUpdateAge: evacuationsWatchWait + mirrorSilenceMargin}
+		n.Pool.AwaitEvacuations()
+	}
 	n.crashes.IsRunning = n.isRunning
 	n.Forwarder = &forward.Forwarder{
 		Pool: n.Pool, Sender: platform.Sender, Suspects: suspects{n}, Log: n.Log, Meter: n.Meter,
--- a/internal/host/node/ready.go
+++ b/internal/host/node/ready.go
@@ -16,6 +16,7 @@
 	n.Meter.Gauge("store_direct", func() float64 { return boolGauge(!n.health.Down()) })
 	n.Meter.Gauge("servers_cold", func() float64 { cold, _ := n.Pool.WarmUpCounts(); return float64(cold) })
 	n.Meter.Gauge("sends_stopped", func() float64 { _, stopped := n.Pool.WarmUpCounts(); return float64(stopped) })
+	n.Meter.Gauge("zones_evacuated", func() float64 { return float64(n.Pool.EvacuatedCount()) })
 	n.Meter.Gauge("duty_held", func() float64 {
 		_, held := n.holder.Held(ControlDuty)
 		return boolGauge(held)
@@ -62,11 +63,11 @@
 	return outage.Outage{Age: age, Isolated: isolated}.RetryAfter(rand.Float64())
 }
 
-// Ready reports whether the host should get callers: it knows the configuration and the list
-// of backend servers, the configuration was known to be current less than maxReadyAge ago, and
+// Ready reports whether the host should get callers: it knows the configuration, the list of
+// backend servers and, if there are any, the evacuated zones, the configuration was known to be current less than maxReadyAge ago, and
 // no planned stop has begun.
 func (n *Node) Ready() bool {
-	return !n.draining.Load() && n.Policy() != nil && n.Pool.HasList() && n.policyAge() < maxReadyAge
+	return !n.draining.Load() && n.Policy() != nil && n.Pool.HasList() && !n.Pool.EvacuationsPending() && n.policyAge() < maxReadyAge
 }
 
 // Draining reports whether a planned stop has begun.
--- a/internal/host/node/run.go
+++ b/internal/host/node/run.go
@@ -53,7 +53,7 @@
 			n.mirroredFollower(watch, prefix, handle).Run(ctx)
 		}
 	}
-	return []func(){
+	loops := []func(){
 		func() { n.followHosts(ctx) },
 		follow(watchTimes{direct: policyWatchWait, watcher: policyWatchWait, listAfterFailure: true, readAtStart: true}, keys.PolicyKind, n.applyPolicyChange),
 		follow(watchTimes{direct: directWatchWait, watcher: serversWatcherWait, minInterval: minWatchInterval, readAtStart: true}, keys.Servers, n.applyServersChange),
@@ -71,6 +71,12 @@
 		func() { n.fetchSuspects(ctx) },
 		func() { runEvery(ctx, silenceCheckInterval, n.checkSilentSends) },
 	}
+	if n.Settings.EvacuationLimit > 0 {
+		loops = append(loops,
+			follow(watchTimes{direct: evacuationsWatchWait, watcher: evacuationsWatchWait, readAtStart: true}, keys.Evacuations, n.applyEvacuationsChange),
+			func() { n.endEvacuationsWait(ctx) })
+	}
+	return loops
 }
 
 // awaitHosts waits until the list of hosts is known or hostListTimeout has passed.
--- a/internal/host/node/suspects.go
+++ b/internal/host/node/suspects.go
@@ -88,8 +88,12 @@
 }
 
 // hasCrashed reports whether a server answers no health check, or restarts. It takes up to
-// healthCheckTimeout or restartNotice.
+// healthCheckTimeout or restartNotice. A server in an evacuated zone gets no health check and
+// counts as running.
 func (n *Node) hasCrashed(server pool.Server) bool {
+	if n.Pool.IsEvacuated(server.Zone) {
+		return false
+	}
 	if n.answersHealthCheck(server) {
 		time.Sleep(restartNotice)
 		if n.isRunning(poison.Server{Name: server.Name, Boot: server.Boot}) {
--- a/internal/rollout/release/release.go
+++ b/internal/rollout/release/release.go
@@ -161,11 +161,11 @@
 	}
 }
 
-// engines returns the servers of a service that are not draining.
+// engines returns the servers of a service that are not draining, nor in an evacuated zone.
 func (c *Coordinator) engines(service string) []pool.Server {
 	var servers []pool.Server
 	for _, s := range c.Pool.Servers() {
-		if s.Service == service && !s.Draining {
+		if s.Service == service && !s.Draining && !c.Pool.IsEvacuated(s.Zone) {
 			servers = append(servers, s)
 		}
 	}
@@ -284,6 +284,9 @@
 	err := c.Holder.Do(ctx, c.Duty, func(ctx context.Context, grant lease.Grant) error {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
+		if c.Pool.IsEvacuated(server.Zone) { // since the load was planned
+			return &pool.EvacuatedError{Server: server.Name, Zone: server.Zone}
+		}
 		return c.Engines.Load(ctx, server, load, orders, grant)
 	})
 	if err == nil {
@@ -337,8 +340,12 @@
 const statusTimeout = 300 * time.Millisecond
 
 // queryStatus queries the status of an engine and records it. If the query fails, the
-// previous status stays, with the time of this query.
+// previous status stays, with the time of this query. An engine in an evacuated zone is not
+// queried.
 func (c *Coordinator) queryStatus(ctx context.Context, server pool.Server) {
+	if c.Pool.IsEvacuated(server.Zone) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	status, err := c.Engines.Status(ctx, server)
--- a/internal/site/event/site.go
+++ b/internal/site/event/site.go
@@ -24,6 +24,9 @@
 	ServerSilent
 	ServerCold
 	WarmUpIgnored
+	ZoneEvacuated
+	ZoneReopened
+	EvacuationsUnread
 )
 
 func siteEvents() []Entry {
@@ -48,5 +51,8 @@
 		{ServerSilent, Info, "backend server silent", "A request that this host gave up was at a server that answers no health check either, or has restarted.", "Check the named server if this repeats."},
 		{ServerCold, Info, "backend server cold", "It said in a response that it is warming up; it gets only a few requests per second until then.", "Nothing."},
 		{WarmUpIgnored, Warning, "invalid warm-up ignored", "The configuration names a negative or impossible warm-up for the service, which now has no limit.", "Correct cold_per_s and cold_start_s of the named service."},
+		{ZoneEvacuated, Warning, "zone evacuated", "The platform ordered it; this host sends nothing more to servers in the zone.", "Nothing."},
+		{ZoneReopened, Info, "zone no longer evacuated", "The platform removed the order; the zone's servers count as cold at first.", "Nothing."},
+		{EvacuationsUnread, Warning, "evacuations unread", "Neither the store nor another host let this host read the evacuated zones since its start; it serves without them.", "Check the network path from this host to the store."},
 	}
 }
