--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -50,6 +50,12 @@
 	Metrics string
 	// ShutdownGrace is the maximum duration of a planned stop.
 	ShutdownGrace time.Duration
+	// WarmUpOverage and WarmUpSlack extend the requests per second that a cold server can
+	// take: it may get WarmUpOverage times as many and WarmUpSlack more.
+	WarmUpOverage, WarmUpSlack float64
+	// EvacuationLimit is the time from which on no request may get to a zone after its
+	// evacuation was ordered. Zero means that the platform orders none.
+	EvacuationLimit time.Duration
 	// Bootstrap says that the whole site is starting for the first time. The host then
 	// waits for a moment before it reads the list of hosts.
 	Bootstrap bool
@@ -67,6 +73,7 @@
 	Servers     string // prefix of the entries of backend servers
 	Releases    string // prefix of the released weights versions
 	Retirements string // prefix of the hosts with a disk that are to be emptied
+	Evacuations string // prefix of the zones to which no request may be sent
 }
 
 // Platform holds the parts of the platform that a host uses: its store, decoders of the
@@ -218,6 +225,7 @@
 	reporter         *tally.Reporter
 	coordinator      *release.Coordinator
 	policy           atomic.Pointer[policy.Policy]
+	viewKnown        atomic.Int64 // time by clock at which a followed prefix was last known to be current
 	policyKnown      atomic.Int64 // time by clock at which the configuration was last known to be current
 	draining         atomic.Bool
 	drainingSince    atomic.Int64    // time by clock at which a planned stop began
@@ -232,6 +240,7 @@
 	resumesDuty      atomic.Bool     // an earlier process of this host held the duty last and has not released it
 	policyUnreadable bool            // the newest configuration is invalid; used by its follower only
 	retiredHosts     map[string]bool // retirements that have been completed; used by their follower only
+	evacuated        map[string]bool // evacuated zones; used by their follower only
 	hostsListed      chan struct{}   // closed once the list of hosts is known
 	hostsListedOnce  sync.Once       // closes hostsListed
 	done             chan struct{}
@@ -243,7 +252,7 @@
 
 // New assembles a host. Run starts it.
 func New(settings Settings, platform Platform, log event.Log) *Node {
-	n := &Node{Settings: settings, Platform: platform, Log: log, Incarnation: uint64(time.Now().UnixNano()), timeSource: lease.BootClock{}, hostsListed: make(chan struct{}), done: make(chan struct{}), retiredHosts: map[string]bool{}}
+	n := &Node{Settings: settings, Platform: platform, Log: log, Incarnation: uint64(time.Now().UnixNano()), timeSource: lease.BootClock{}, hostsListed: make(chan struct{}), done: make(chan struct{}), retiredHosts: map[string]bool{}, evacuated: map[string]bool{}}
 	n.startedAt = n.clock()
 	n.ending, n.end = context.WithCancel(context.Background()) //nolint:gosec // shutDown calls it
 	n.outage.LossTimeout = outageLogDelay
@@ -263,6 +272,10 @@
 	} {
 		n.mirrors[prefix] = &peer.Mirror{Now: n.clock, MaxUpdateAge: wait + mirrorSilenceMargin}
 	}
+	if settings.EvacuationLimit > 0 {
+		n.mirrors[platform.Keys.Evacuations] = &peer.Mirror{Now: n.clock, MaxUpdateAge: evacuationsWatchWait + mirrorSilenceMargin}
+		n.Pool.AwaitEvacuations()
+	}
 	n.crashes.IsRunning = n.isRunning
 	n.Forwarder = &forward.Forwarder{
 		Pool: n.Pool, Sender: platform.Sender, Suspects: suspects{n}, Log: n.Log, Meter: n.Meter,
@@ -276,6 +289,7 @@
 		Log: n.Log, Meter: n.Meter, ToleratedZones: settings.ToleratedZones,
 	}
 	n.followZones()
+	n.connectPool()
 	n.registerGauges()
 	n.newDutyWorkers()
 	return n
