Stop being ready soon after a zone is cut off from the others

Cause: hosts of a cut-off zone stayed ready until their configuration was 3.8 s old. With two checks of the load balancer their callers stayed with them for the whole of a cut of five seconds.

Change: a host without news from the store probes hosts of other zones. When neither answers for 1.3 s, it isn't ready. Where only the store is away, and where no loss of a zone has to be tolerated, nothing changes.

--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -214,36 +214,37 @@
 	Directory *peer.Directory // known hosts
 	Meter     *meter.Meter    // metrics
 
-	store            object.Store
-	zones            *silence.Watch      // nil unless Settings.ToleratedZones is above 0
-	crashes          poison.CrashCounter // crashes of servers, by request
-	healthChecks     singleflight.Group  // of servers, by name and boot
-	health           peer.StoreHealth
-	outage           object.OutageDetector
-	mirrors          map[string]*peer.Mirror // mirrors of store prefixes, by prefix
-	holder           *lease.Holder
-	reporter         *tally.Reporter
-	coordinator      *release.Coordinator
-	policy           atomic.Pointer[policy.Policy]
-	viewKnown        atomic.Int64 // time by clock at which a followed prefix was last known to be current
-	policyKnown      atomic.Int64 // time by clock at which the configuration was last known to be current
-	draining         atomic.Bool
-	drainingSince    atomic.Int64    // time by clock at which a planned stop began
-	ending           context.Context // ends when requests in flight get their final response
-	end              context.CancelFunc
-	policyStale      atomic.Bool   // as last logged by watchStaleness
-	startedAt        time.Duration // time by clock of New
-	dutyLost         atomic.Int64  // time by clock of the start or of the last loss of the duty
-	otherHeld        atomic.Int64  // time by clock at which another host last claimed to hold the duty
-	timeSource       lease.Clock
-	wallClock        tally.Clock
-	resumesDuty      atomic.Bool     // an earlier process of this host held the duty last and has not released it
-	policyUnreadable bool            // the newest configuration is invalid; used by its follower only
-	retiredHosts     map[string]bool // retirements that have been completed; used by their follower only
-	evacuated        map[string]bool // evacuated zones; used by their follower only
-	hostsListed      chan struct{}   // closed once the list of hosts is known
-	hostsListedOnce  sync.Once       // closes hostsListed
-	done             chan struct{}
+	store             object.Store
+	zones             *silence.Watch      // nil unless Settings.ToleratedZones is above 0
+	crashes           poison.CrashCounter // crashes of servers, by request
+	healthChecks      singleflight.Group  // of servers, by name and boot
+	health            peer.StoreHealth
+	outage            object.OutageDetector
+	mirrors           map[string]*peer.Mirror // mirrors of store prefixes, by prefix
+	holder            *lease.Holder
+	reporter          *tally.Reporter
+	coordinator       *release.Coordinator
+	policy            atomic.Pointer[policy.Policy]
+	viewKnown         atomic.Int64 // time by clock at which a followed prefix was last known to be current
+	policyKnown       atomic.Int64 // time by clock at which the configuration was last known to be current
+	draining          atomic.Bool
+	drainingSince     atomic.Int64    // time by clock at which a planned stop began
+	ending            context.Context // ends when requests in flight get their final response
+	end               context.CancelFunc
+	policyStale       atomic.Bool   // as last logged by watchStaleness
+	startedAt         time.Duration // time by clock of New
+	dutyLost          atomic.Int64  // time by clock of the start or of the last loss of the duty
+	otherHeld         atomic.Int64  // time by clock at which another host last claimed to hold the duty
+	otherZoneAnswered atomic.Int64  // time by clock at which the store or another zone was last heard of
+	timeSource        lease.Clock
+	wallClock         tally.Clock
+	resumesDuty       atomic.Bool     // an earlier process of this host held the duty last and has not released it
+	policyUnreadable  bool            // the newest configuration is invalid; used by its follower only
+	retiredHosts      map[string]bool // retirements that have been completed; used by their follower only
+	evacuated         map[string]bool // evacuated zones; used by their follower only
+	hostsListed       chan struct{}   // closed once the list of hosts is known
+	hostsListedOnce   sync.Once       // closes hostsListed
+	done              chan struct{}
 }
 
 // clock returns the time since boot. It includes time in suspend, which the age of updates
@@ -254,6 +255,7 @@
 func New(settings Settings, platform Platform, log event.Log) *Node {
 	n := &Node{Settings: settings, Platform: platform, Log: log, Incarnation: uint64(time.Now().UnixNano()), timeSource: lease.BootClock{}, hostsListed: make(chan struct{}), done: make(chan struct{}), retiredHosts: map[string]bool{}, evacuated: map[string]bool{}}
 	n.startedAt = n.clock()
+	n.otherZoneAnswered.Store(int64(n.startedAt))
 	n.ending, n.end = context.WithCancel(context.Background()) //nolint:gosec // shutDown calls it
 	n.outage.LossTimeout = outageLogDelay
 	n.Meter = meter.New()
--- a/internal/host/node/ready.go
+++ b/internal/host/node/ready.go
@@ -13,6 +13,7 @@
 	n.Meter.Gauge("news_age_seconds", func() float64 { return n.policyAge().Seconds() })
 	n.Meter.Gauge("batches_open", func() float64 { return float64(n.Batches.RunningCount()) })
 	n.Meter.Gauge("ready", func() float64 { return boolGauge(n.Ready()) })
+	n.Meter.Gauge("cut_off", func() float64 { return boolGauge(n.isCutOff()) })
 	n.Meter.Gauge("store_direct", func() float64 { return boolGauge(!n.health.Down()) })
 	n.Meter.Gauge("servers_cold", func() float64 { cold, _ := n.Pool.WarmUpCounts(); return float64(cold) })
 	n.Meter.Gauge("sends_stopped", func() float64 { _, stopped := n.Pool.WarmUpCounts(); return float64(stopped) })
@@ -67,7 +68,7 @@
 // backend servers and, if there are any, the evacuated zones, the configuration was known to be current less than maxReadyAge ago, and
 // no planned stop has begun.
 func (n *Node) Ready() bool {
-	return !n.draining.Load() && n.Policy() != nil && n.Pool.HasList() && !n.Pool.EvacuationsPending() && n.policyAge() < maxReadyAge
+	return !n.draining.Load() && n.Policy() != nil && n.Pool.HasList() && !n.Pool.EvacuationsPending() && n.policyAge() < maxReadyAge && !n.isCutOff()
 }
 
 // Draining reports whether a planned stop has begun.
--- a/internal/host/node/run.go
+++ b/internal/host/node/run.go
@@ -64,6 +64,11 @@
 		func() { n.reporter.Run(ctx) },
 		func() { n.coordinator.Run(ctx) },
 		func() { n.trackDuty(ctx) },
+		func() {
+			if n.Settings.ToleratedZones > 0 {
+				runEvery(ctx, otherZoneProbeInterval, func() { n.probeOtherZones(ctx) })
+			}
+		},
 		func() { runEvery(ctx, holderProbeInterval, func() { n.probeHolder(ctx) }) },
 		func() { n.followWhileHolder(ctx, keys.Releases, n.applyReleasesChange) },
 		func() { n.followWhileHolder(ctx, keys.Retirements, n.retirementsHandler(ctx)) },
