Keep a copy of a batch's texts at a standby in another zone

A new owner goes on from the latest copy if the previous owner's process does not answer. Each message names the acknowledged one that it builds on and the position that its texts replace, since messages arrive late or are lost and an owner drops texts of other weights versions.

--- a/internal/host/node/ready.go
+++ b/internal/host/node/ready.go
@@ -12,6 +12,7 @@
 func (n *Node) registerGauges() {
 	n.Meter.Gauge("news_age_seconds", func() float64 { return n.policyAge().Seconds() })
 	n.Meter.Gauge("batches_open", func() float64 { return float64(n.Batches.RunningCount()) })
+	n.Meter.Gauge("copies_held_bytes", func() float64 { return float64(n.Batches.CopiesSize()) })
 	n.Meter.Gauge("ready", func() float64 { return boolGauge(n.Ready()) })
 	n.Meter.Gauge("store_direct", func() float64 { return boolGauge(!n.health.Down()) })
 	n.Meter.Gauge("duty_held", func() float64 {
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -95,6 +95,7 @@
 		n.Batches.ServeStart(r)
 		return empty{}
 	})
+	peer.Handle(mux, "copy", func(_ context.Context, r batch.CopyRequest) batch.CopyReply { return n.Batches.ServeCopy(r) })
 	peer.Handle(mux, "end", func(_ context.Context, r endRequest) empty {
 		n.Batches.ServeEnd(r.ID)
 		return empty{}
@@ -142,6 +143,10 @@
 	return err
 }
 
+func (p peers) Copy(ctx context.Context, host string, request batch.CopyRequest) (batch.CopyReply, error) {
+	return peer.Call[batch.CopyReply](ctx, p.Directory, host, "copy", request)
+}
+
 func (p peers) Ping(ctx context.Context, host string) (batch.HostStatus, error) {
 	reply, err := peer.Call[pingReply](ctx, p.Directory, host, "ping", empty{})
 	return batch.HostStatus{Incarnation: reply.Incarnation, Healthy: reply.Healthy, Open: reply.Open}, err
--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -19,7 +19,11 @@
 //  4. The host that is next in rank takes over a batch whose owner does not answer
 //     or can't reach the store. It reads the log and runs the missing items. With
 //     Batches.ToleratedZones, hosts outside the owner's zone come first in rank.
-//  5. The end of a batch is acknowledged when the record says so. The owner is
+//  5. With Batches.ToleratedZones, the owner sends the texts and failures of its unlisted
+//     items to one other host, the standby, which is also the first in rank to take the
+//     batch over. A copy is only used when the owner's process does not answer, and a new
+//     owner goes on from it under the same conditions as from any partial result.
+//  6. The end of a batch is acknowledged when the record says so. The owner is
 //     notified at once, and also sees it by its watch.
 package batch
 
--- a/internal/rollout/batch/batches.go
+++ b/internal/rollout/batch/batches.go
@@ -77,6 +77,8 @@
 	First(key string, count int) []string
 	// Start calls ServeStart on a host.
 	Start(ctx context.Context, host string, request StartRequest) error
+	// Copy calls ServeCopy on a host.
+	Copy(ctx context.Context, host string, request CopyRequest) (CopyReply, error)
 }
 
 // HostStatus is a host's answer to a ping. Healthy reports whether the host reaches
@@ -129,17 +131,24 @@
 // PartialsRequest asks a host for the partial results of items, and to stop running
 // them: a later batch of the same workspace and route contains them again. Batch is
 // the identifier of that later batch. It is empty when the batch that the host runs
-// was itself taken over.
+// was itself taken over. With CopyOf the host returns its copy of the items of that batch
+// instead, and stops none.
 type PartialsRequest struct {
 	Batch     string   `cbor:"1,keyasint"`
 	Workspace string   `cbor:"2,keyasint"`
 	Route     string   `cbor:"3,keyasint"`
 	Items     []string `cbor:"4,keyasint"`
+	CopyOf    string   `cbor:"5,keyasint,omitempty"`
 }
 
 // PartialsReply answers a PartialsRequest with the partial results by item identifier.
+// Incarnation identifies the process that answers. Epoch and Sequence are those of the
+// latest message of a copy.
 type PartialsReply struct {
-	Partials map[string]Partial `cbor:"1,keyasint,omitempty"`
+	Partials    map[string]Partial `cbor:"1,keyasint,omitempty"`
+	Incarnation uint64             `cbor:"2,keyasint,omitempty"`
+	Epoch       uint64             `cbor:"3,keyasint,omitempty"`
+	Sequence    uint64             `cbor:"4,keyasint,omitempty"`
 }
 
 // Batches accepts, runs, takes over and serves batches on one host. Set the exported
@@ -161,18 +170,20 @@
 	Meter      *meter.Meter // optional
 	// ToleratedZones is the number of availability zones whose failure at a time must not
 	// delay batches. Above zero, hosts in other zones than an owner's come first in taking
-	// over its batches, and silent owners are noticed sooner.
+	// over its batches, silent owners are noticed sooner, and each batch has a standby.
 	ToleratedZones int
 
 	mu          sync.Mutex
-	ctx         context.Context     // of Run; nil before it is called
-	known       map[string]known    // by batch, as are workers, logs, chunks and logComplete
-	workers     map[string]*worker  // of batches that run here or have completed here and not ended
-	active      map[*worker]bool    // workers whose run has not returned; a dropped one may still store text
-	logs        map[string][]Result // results of batches without a worker here, as far as they were read
-	chunks      map[string]int      // number of log objects read into logs
-	logComplete map[string]bool     // whether no write was in flight when an ended batch was stopped
-	partials    map[string]Partial  // by item, of generations that have stopped here
+	ctx         context.Context          // of Run; nil before it is called
+	known       map[string]known         // by batch, as are workers, logs, chunks and logComplete
+	workers     map[string]*worker       // of batches that run here or have completed here and not ended
+	active      map[*worker]bool         // workers whose run has not returned; a dropped one may still store text
+	logs        map[string][]Result      // results of batches without a worker here, as far as they were read
+	chunks      map[string]int           // number of log objects read into logs
+	logComplete map[string]bool          // whether no write was in flight when an ended batch was stopped
+	partials    map[string]storedPartial // by item, of generations that have stopped here
+	copies      map[string]*batchCopy    // by batch, of batches that have this host as their standby
+	copiesSize  int                      // estimated memory of copies in bytes
 	assigner    assigner
 	draining    bool
 	group       sync.WaitGroup // workers, notifications and retries of ends
@@ -191,6 +202,20 @@
 	b.mu.Lock()
 	b.ctx = ctx
 	b.mu.Unlock()
+	b.group.Go(func() {
+		ticker := time.NewTicker(sweepInterval)
+		defer ticker.Stop()
+		for ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case now := <-ticker.C:
+				b.sweep(now)
+			}
+		}
+	})
+	if b.ToleratedZones > 0 {
+		b.group.Go(func() { b.sendCopies(ctx) })
+	}
 	b.watchOwners(ctx)
 	b.group.Wait()
 }
@@ -204,7 +229,8 @@
 		b.logs = map[string][]Result{}
 		b.chunks = map[string]int{}
 		b.logComplete = map[string]bool{}
-		b.partials = map[string]Partial{}
+		b.partials = map[string]storedPartial{}
+		b.copies = map[string]*batchCopy{}
 	}
 }
 
--- a/internal/rollout/batch/carry.go
+++ b/internal/rollout/batch/carry.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
@@ -42,13 +43,19 @@
 	if len(previous.Texts) >= len(partial.Texts) && previous.newestVersion() >= partial.newestVersion() {
 		partial.Texts, partial.Versions, partial.Complete = previous.Texts, previous.Versions, previous.Complete
 	}
-	partial.addFailures(previous)
-	b.partials[item] = partial
-	time.AfterFunc(partialRetention, func() {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		delete(b.partials, item)
-	})
+	partial.addFailures(previous.Partial)
+	stored := previous.stored
+	if stored.IsZero() {
+		stored = time.Now()
+	}
+	b.partials[item] = storedPartial{partial, stored}
+}
+
+// storedPartial is a partial result and the time since which one of its item is stored. It
+// is dropped by sweep.
+type storedPartial struct {
+	Partial
+	stored time.Time
 }
 
 // addFailures merges the failures that another host or batch has recorded of the item.
@@ -135,6 +142,9 @@
 // workspace and route stop the items and hand them over, except the batch that asks. Batches
 // that this host has just dropped count as running until their generations have stopped.
 func (b *Batches) ServePartials(ctx context.Context, request PartialsRequest) PartialsReply {
+	if request.CopyOf != "" {
+		return b.heldCopy(request.CopyOf)
+	}
 	for _, w := range b.activeWorkers() {
 		if w.batch.ID != request.Batch && w.batch.Workspace == request.Workspace && w.batch.Route == request.Route {
 			w.handOverItems(ctx, request.Items)
@@ -142,10 +152,10 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	reply := PartialsReply{Partials: map[string]Partial{}}
+	reply := PartialsReply{Partials: map[string]Partial{}, Incarnation: b.Incarnation}
 	for _, item := range request.Items {
-		if partial, ok := b.partials[item]; ok {
-			reply.Partials[item] = partial
+		if kept, ok := b.partials[item]; ok {
+			reply.Partials[item] = kept.Partial
 		}
 	}
 	return reply
@@ -190,15 +200,17 @@
 			found[item] = best
 		}
 	}
-	add(w.fromPreviousOwner(ctx, request)) // with its own timeout, since that owner may be dead
-	var unanswered []string                // batches whose owners don't answer
+	partials, copies := w.fromLostOwner(ctx, request) // with its own timeout, since that owner may be dead
+	add(partials)
+	add(copies)
+	var unanswered []string // batches whose owners don't answer
 	askCtx, cancel := context.WithTimeout(ctx, partialsTimeout)
 	defer cancel()
 	add(b.ServePartials(askCtx, request).Partials)
 	for owner, batches := range b.previousOwners(batch) {
 		if owner.host != b.Host {
-			if partials, ok := w.askPartials(askCtx, owner.host, request); ok {
-				add(partials)
+			if reply, err := w.askPartials(askCtx, owner.host, request); err == nil {
+				add(reply.Partials)
 				continue
 			}
 		}
@@ -216,30 +228,50 @@
 	return found
 }
 
+// fromLostOwner returns the partial results of a batch that was taken over: those of its
+// previous owner, or the copies at its standbys. A copy may hold a text that the owner has
+// dropped since, so that copies count only if the process of that owner does not answer.
+func (w *worker) fromLostOwner(ctx context.Context, request PartialsRequest) (partials, copies map[string]Partial) {
+	var group sync.WaitGroup
+	group.Go(func() { copies = w.fromStandbys(ctx) })
+	partials, answered := w.fromPreviousOwner(ctx, request)
+	group.Wait()
+	if answered {
+		return partials, nil
+	}
+	texts := 0
+	for item, partial := range copies {
+		if partial.usable(w.batch) && !w.isListed(item) {
+			texts++
+		}
+	}
+	w.Meter.Add("copied_texts_used_total", int64(texts))
+	return partials, copies
+}
+
 // fromPreviousOwner asks the previous owner of a batch that was taken over for its
 // partial results. That owner may only have been slow to answer or cut off from the
 // store, and still runs the items; it stops them and returns their text. The result is
-// nil if it does not answer.
-func (w *worker) fromPreviousOwner(ctx context.Context, request PartialsRequest) map[string]Partial {
-	if w.previousOwner == "" || w.previousOwner == w.Host {
-		return nil
+// nil if it does not answer, and false if its process does not.
+func (w *worker) fromPreviousOwner(ctx context.Context, request PartialsRequest) (map[string]Partial, bool) {
+	if w.previous.host == "" || w.previous.host == w.Host {
+		return nil, w.previous == process{w.Host, w.Incarnation}
 	}
 	request.Batch = "" // so that the batch itself is not excepted
 	request.Items = slices.DeleteFunc(slices.Clone(request.Items), w.isListed)
 	ctx, cancel := context.WithTimeout(ctx, partialsTimeout)
 	defer cancel()
-	partials, _ := w.askPartials(ctx, w.previousOwner, request)
-	return partials
+	reply, err := w.askPartials(ctx, w.previous.host, request)
+	return reply.Partials, err == nil && reply.Incarnation == w.previous.incarnation
 }
 
-// askPartials asks another host for partial results. It returns false if the host does
-// not answer.
-func (w *worker) askPartials(ctx context.Context, host string, request PartialsRequest) (map[string]Partial, bool) {
+// askPartials asks another host for partial results.
+func (w *worker) askPartials(ctx context.Context, host string, request PartialsRequest) (PartialsReply, error) {
 	reply, err := w.Peers.Partials(ctx, host, request)
 	if err != nil {
 		w.Log.Emit(event.OwnerNotifyFailed, "batch", w.batch.ID, "owner", host, "err", err.Error())
 	}
-	return reply.Partials, err == nil
+	return reply, err
 }
 
 // givenUpItems returns the items that the log of a batch lists as given up.
--- a/internal/rollout/batch/commands.go
+++ b/internal/rollout/batch/commands.go
@@ -107,8 +107,9 @@
 
 // startWorker starts running a batch that this host owns, unless it runs already, has
 // ended or has a newer owner, or this host starts or drains. Log holds the results that are
-// listed so far, and chunks is the number of log objects that they come from.
-func (b *Batches) startWorker(batch Batch, record Record, log []Result, chunks int) {
+// listed so far, and chunks is the number of log objects that they come from. Previous is the
+// previous owner, empty for the first one.
+func (b *Batches) startWorker(batch Batch, record Record, previous process, log []Result, chunks int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.workers[batch.ID] != nil || b.draining || b.ctx == nil {
@@ -117,7 +118,7 @@
 	if k := b.known[batch.ID]; k.Ended || k.Epoch > record.Epoch {
 		return
 	}
-	w := newWorker(b, batch, record, log, chunks)
+	w := newWorker(b, batch, record, previous, log, chunks)
 	ctx, cancel := context.WithCancel(b.ctx)
 	w.cancel = cancel
 	b.workers[batch.ID] = w
--- a/internal/rollout/batch/fuzz_test.go
+++ b/internal/rollout/batch/fuzz_test.go
@@ -35,6 +35,7 @@
 	for _, message := range []any{
 		batch.StartRequest{Batch: submission("one", "a1"), Record: batch.Record{Owner: "h"}},
 		batch.ReadRequest{ID: "one", After: 3, Wait: time.Second},
+		batch.CopyRequest{Batch: "one", Epoch: 1, Sequence: 1, First: true, Items: []batch.CopyItem{{ID: "a1", Partial: batch.Partial{Texts: []string{"x"}}}}},
 		batch.PartialsReply{Partials: map[string]batch.Partial{"a1": {Texts: []string{"x"}, Versions: []uint64{5}}}},
 	} {
 		raw, err := cbor.Marshal(message)
@@ -53,6 +54,10 @@
 		if cbor.Unmarshal(raw, &read) == nil && read.Wait <= 0 {
 			_ = b.ServeBody(batch.BodyRequest{ID: read.ID})
 		}
+		var copied batch.CopyRequest
+		if cbor.Unmarshal(raw, &copied) == nil {
+			_ = b.ServeCopy(copied)
+		}
 		var partials batch.PartialsRequest
 		if cbor.Unmarshal(raw, &partials) == nil {
 			_ = b.ServePartials(t.Context(), partials)
--- a/internal/rollout/batch/generate.go
+++ b/internal/rollout/batch/generate.go
@@ -110,6 +110,7 @@
 	started := time.Now()
 	defer func() { g.Meter.Time("item_seconds", time.Since(started), "route", g.batch.Route) }()
 	defer func() { g.storePartial(g.item.ID, g.Partial) }()
+	g.publish()
 	switch {
 	case g.Complete:
 		return g.score(ctx)
@@ -129,6 +130,7 @@
 		choice.Release()
 		if err == nil {
 			g.Complete = true
+			g.publish()
 			return g.score(ctx)
 		}
 		if ctx.Err() != nil {
@@ -144,6 +146,7 @@
 
 // handleFailure records a failed attempt. It returns true if the item is to be given up.
 func (g *generation) handleFailure(choice *pool.Choice, err error) bool {
+	defer g.publish()
 	now := time.Now()
 	if failed, ok := errors.AsType[*FailedRunError](err); ok {
 		g.batchFailures++
@@ -266,11 +269,15 @@
 	g.Texts = append(g.Texts, next.Text)
 	g.size += len(next.Text)
 	if at, found := slices.BinarySearch(g.Versions, version); !found {
-		g.Versions = slices.Insert(g.Versions, at, version)
+		g.Versions = slices.Insert(slices.Clone(g.Versions), at, version) // the earlier slice may be in a copy, see publish
 	}
+	g.publish()
 	return nil
 }
 
+// publish makes the state of the item known to the sender of the batch's copy.
+func (g *generation) publish() { g.copies.publish(g.item.ID, g.Partial) }
+
 // slowEngineError ends an attempt because another engine would finish the item sooner.
 type slowEngineError struct {
 	gap, quickest time.Duration // times between two events
@@ -302,6 +309,7 @@
 			fails += failed.Failures
 			g.ScorerFailures += failed.Failures
 			g.Unscorable = g.ScorerFailures >= maxFailedBatches*failed.MaxAttempts
+			g.publish()
 		}
 		if ok && (fails >= failed.MaxAttempts || g.Unscorable) || time.Now().After(g.expires) {
 			return g.errored("scorer: " + err.Error()), true
--- a/internal/rollout/batch/home.go
+++ b/internal/rollout/batch/home.go
@@ -48,7 +48,7 @@
 func (b *Batches) startAtOwner(batch Batch, record Record, version uint64) {
 	if record.Owner == b.Host {
 		if record.Incarnation == b.Incarnation {
-			b.startWorker(batch, record, nil, 0)
+			b.startWorker(batch, record, process{}, nil, 0)
 		}
 		return
 	}
@@ -79,5 +79,5 @@
 		return // sent to an earlier process of this host
 	}
 	b.applyRecord(request.Batch.ID, record, request.Version)
-	b.startWorker(request.Batch, record, nil, 0)
+	b.startWorker(request.Batch, record, process{}, nil, 0)
 }
--- a/internal/rollout/batch/standby_test.go
+++ b/internal/rollout/batch/standby_test.go
@@ -1,11 +1,14 @@
 package batch_test
 
 import (
+	"bytes"
 	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/rollout/batch"
 )
 
 // takeoverBound is the time within which a silent owner is replaced, 1.5 s, with half a
@@ -97,4 +100,87 @@
 		s.kill("a1")
 		Eventually(s.owner, patience).WithArguments("one").Should(Equal("a2"))
 	})
+
+	copied := func(host, id string) func() int {
+		return func() int {
+			return len(s.batches(host).ServePartials(ctx, batch.PartialsRequest{CopyOf: id}).Partials)
+		}
+	}
+	// goesOn checks that the item x1, whose first event was made, is resumed after it.
+	goesOn := func() {
+		GinkgoHelper()
+		Eventually(func() []int { return s.gen.resumed("x1") }, takeoverBound+time.Second).Should(HaveLen(2))
+		Expect(s.gen.resumed("x1")).To(Equal([]int{0, 1}))
+		close(s.gen.hold["x1"])
+		Eventually(func() []string { return s.listed("c1", "one") }, patience).Should(Equal([]string{"x1"}))
+		page, err := s.read("c1", "one", 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Results[0].Text).To(Equal(text("x1")))
+	}
+
+	// Guards against a text that is begun anew because only its cut-off owner has it.
+	It("goes on at the standby when the zone of its owner is cut off", func() {
+		s = newZoneSite(ctx, 1, "a2", "a1", "b1", "c1")
+		hold("one", "x1")
+		Eventually(copied("b1", "one"), patience).Should(Equal(1))
+		s.cutZone("a")
+		goesOn()
+		var metrics bytes.Buffer
+		s.zones.meters["b1"].Write(&metrics)
+		Expect(metrics.String()).To(ContainSubstring("copied_texts_used_total 1"))
+	})
+
+	// Guards against a text that is lost with its owner.
+	It("goes on at the standby when its owner is killed", func() {
+		s = newZoneSite(ctx, 1, "a1", "b1", "c1")
+		hold("one", "x1")
+		Eventually(copied("b1", "one"), patience).Should(Equal(1))
+		s.kill("a1")
+		goesOn()
+	})
+
+	// Guards against a copy that no host has after the loss of the standby.
+	It("goes on from the copy of the next host when the standby was lost before", func() {
+		s = newZoneSite(ctx, 1, "a1", "b1", "c1")
+		hold("one", "x1")
+		Eventually(copied("b1", "one"), patience).Should(Equal(1))
+		s.kill("b1")
+		time.Sleep(400 * time.Millisecond) // a message without news is not sent
+		hold("two", "x2")
+		Eventually(copied("c1", "two"), patience).Should(Equal(1))
+		s.kill("a1")
+		Eventually(func() []int { return s.gen.resumed("x2") }, patience).Should(Equal([]int{0, 1}))
+	})
+
+	// The first in rank took no copy and takes the batch over. Guards against a new owner that
+	// does not look for a copy elsewhere.
+	It("goes on from a copy that another host than its new owner keeps", func() {
+		s = newZoneSite(ctx, 1, "a1", "b1", "c1")
+		s.zones.noCopies["b1"] = true
+		hold("one", "x1")
+		Eventually(copied("c1", "one"), patience).Should(Equal(1))
+		s.kill("a1")
+		goesOn()
+		Expect(s.owner("one")).To(Equal("b1"))
+	})
+
+	// Guards against a batch that waits for a copy that nobody has.
+	It("starts from the beginning when its owner and its standby are lost at once", func() {
+		s = newZoneSite(ctx, 1, "a1", "b1", "c1")
+		hold("one", "x1")
+		Eventually(copied("b1", "one"), patience).Should(Equal(1))
+		s.kill("b1")
+		s.kill("a1")
+		Eventually(func() []int { return s.gen.resumed("x1") }, patience).Should(Equal([]int{0, 0}))
+	})
+
+	// Guards against messages on sites that do not ask for copies.
+	It("is not copied if no zone may fail", func() {
+		s = newZoneSite(ctx, 0, "a1", "b1", "c1")
+		hold("one", "x1")
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		Expect(s.zones.copies).To(BeEmpty())
+	})
 })
--- a/internal/rollout/batch/takeover.go
+++ b/internal/rollout/batch/takeover.go
@@ -272,7 +272,8 @@
 	b.applyRecord(id, record, version)
 	if record.Owner == b.Host && record.Incarnation == b.Incarnation && !record.Ended {
 		b.Log.Emit(event.BatchTakenOver, "batch", id, "from", k.Owner, "epoch", record.Epoch, "listed", len(log))
-		b.startWorker(batch, record, log, len(chunks)) //nolint:contextcheck // the batch outlives the poll
+		previous := process{record.PreviousOwner, k.Incarnation}
+		b.startWorker(batch, record, previous, log, len(chunks)) //nolint:contextcheck // the batch outlives the poll
 	}
 	return false
 }
--- a/internal/rollout/batch/work.go
+++ b/internal/rollout/batch/work.go
@@ -32,12 +32,13 @@
 // listed once the log in the store holds its result.
 type worker struct {
 	*Batches
-	batch         Batch
-	epoch         uint64
-	submitted     int64     // see Record
-	previousOwner string    // empty for the first owner
-	expires       time.Time // when the items may be given up
-	cancel        context.CancelFunc
+	batch     Batch
+	epoch     uint64
+	submitted int64     // see Record
+	previous  process   // the previous owner, empty for the first one
+	expires   time.Time // when the items may be given up
+	cancel    context.CancelFunc
+	copies    *copySender // nil without Batches.ToleratedZones
 
 	lastWrite time.Time // end of the latest write; used only by run
 
@@ -56,9 +57,9 @@
 	slots       chan struct{}      // semaphore that bounds concurrent generations
 }
 
-func newWorker(b *Batches, batch Batch, record Record, log []Result, chunks int) *worker {
+func newWorker(b *Batches, batch Batch, record Record, previous process, log []Result, chunks int) *worker {
 	w := &worker{
-		Batches: b, batch: batch, epoch: record.Epoch, submitted: record.Submitted, previousOwner: record.PreviousOwner, published: log, chunks: chunks,
+		Batches: b, batch: batch, epoch: record.Epoch, submitted: record.Submitted, previous: previous, published: log, chunks: chunks,
 		expires:    expiry(batch, record, time.Now()),
 		listed:     make(map[string]bool, len(batch.Items)),
 		changed:    make(chan struct{}),
@@ -74,6 +75,9 @@
 	for _, result := range log {
 		w.listed[result.ID] = true
 	}
+	if b.ToleratedZones > 0 {
+		w.copies = &copySender{worker: w, items: map[string]*itemProgress{}}
+	}
 	return w
 }
 
--- a/internal/rollout/batch/zones_test.go
+++ b/internal/rollout/batch/zones_test.go
@@ -21,6 +21,8 @@
 	cut       string                   // the zone that reaches neither other zones nor the store
 	pingDelay map[string]time.Duration // before a host answers a ping
 	meters    map[string]*meter.Meter
+	copies    []batch.CopyRequest // all copies that were sent
+	noCopies  map[string]bool     // hosts that answer no copies
 }
 
 // newZoneSite returns a site that tolerates the loss of zones, with its hosts in the order of
@@ -29,7 +31,7 @@
 	s := newSite(ctx)
 	s.zones = zones{
 		tolerated: tolerated, order: hosts, of: map[string]string{}, pingDelay: map[string]time.Duration{},
-		meters: map[string]*meter.Meter{},
+		meters: map[string]*meter.Meter{}, noCopies: map[string]bool{},
 	}
 	for _, host := range hosts {
 		s.zones.of[host], s.zones.meters[host] = host[:1], meter.New()
@@ -86,6 +88,17 @@
 	return all
 }
 
+func (p *peers) Copy(ctx context.Context, host string, request batch.CopyRequest) (batch.CopyReply, error) {
+	p.mu.Lock()
+	p.zones.copies = append(p.zones.copies, request)
+	silent := p.zones.noCopies[host]
+	p.mu.Unlock()
+	if b := p.reach(ctx, host); b != nil && !silent {
+		return b.ServeCopy(request), nil
+	}
+	return batch.CopyReply{}, errDead
+}
+
 // zoneStore is the store as a host reaches it.
 type zoneStore struct {
 	object.Store
--- a/internal/site/event/rollout.go
+++ b/internal/site/event/rollout.go
@@ -26,6 +26,7 @@
 	BatchRefused
 	ReleaseAnnounced
 	HomeSkipped
+	StandbyReplaced
 )
 
 func rolloutEvents() []Entry {
@@ -53,5 +54,6 @@
 		{BatchRefused, Info, "batch not accepted", "The store did not accept it; the caller was told when to retry.", "Check the store if this repeats."},
 		{ReleaseAnnounced, Info, "weights release announced", "A trainer published new weights.", "Nothing."},
 		{HomeSkipped, Info, "home host of a batch skipped", "It did not answer, or accepts no batches at present; the next host in order, or this one, runs the batch.", "Check the named host if this lasts."},
+		{StandbyReplaced, Info, "standby of a batch replaced", "It did not answer, or its memory for copies is full; the next host in order gets the copy of the texts.", "Check the named host if this lasts."},
 	}
 }
