--- a/internal/host/node/ready.go
+++ b/internal/host/node/ready.go
@@ -12,6 +12,7 @@
 func (n *Node) registerGauges() {
 	n.Meter.Gauge("news_age_seconds", func() float64 { return n.policyAge().Seconds() })
 	n.Meter.Gauge("batches_open", func() float64 { return float64(n.Batches.RunningCount()) })
+	n.Meter.Gauge("copies_held_bytes", func() float64 { return float64(n.Batches.CopiesSize()) })
 	n.Meter.Gauge("ready", func() float64 { return boolGauge(n.Ready()) })
 	n.Meter.Gauge("cut_off", func() float64 { return boolGauge(n.isCutOff()) })
 	n.Meter.Gauge("store_direct", func() float64 { return boolGauge(!n.health.Down()) })
@@ -65,8 +66,9 @@
 }
 
 // Ready reports whether the host should get callers: it knows the configuration, the list of
-// backend servers and, if there are any, the evacuated zones, the configuration was known to be current less than maxReadyAge ago, and
-// no planned stop has begun.
+// backend servers and, if there are any, the evacuated zones, the configuration was known to
+// be current less than maxReadyAge ago, the host isn't cut off from other zones, and no
+// planned stop has begun.
 func (n *Node) Ready() bool {
 	return !n.draining.Load() && n.Policy() != nil && n.Pool.HasList() && !n.Pool.EvacuationsPending() && n.policyAge() < maxReadyAge && !n.isCutOff()
 }
--- a/internal/rollout/batch/work.go
+++ b/internal/rollout/batch/work.go
@@ -32,15 +32,16 @@
 // listed once the log in the store holds its result.
 type worker struct {
 	*Batches
-	batch         Batch
-	epoch         uint64
-	submitted     int64     // see Record
-	previousOwner string    // empty for the first owner
-	expires       time.Time // when the items may be given up
-	due           time.Time // see dueTime
-	latestEnd     time.Time // see latestEnd
-	lagging       bool      // see trainerLags
-	cancel        context.CancelFunc
+	batch     Batch
+	epoch     uint64
+	submitted int64     // see Record
+	previous  process   // the previous owner, empty for the first one
+	expires   time.Time // when the items may be given up
+	due       time.Time // see dueTime
+	latestEnd time.Time // see latestEnd
+	lagging   bool      // see trainerLags
+	cancel    context.CancelFunc
+	copies    *copySender // nil without Batches.ToleratedZones
 
 	lastWrite time.Time // end of the latest write; used only by run
 
@@ -60,10 +61,10 @@
 	slots       chan struct{}      // semaphore that bounds concurrent generations
 }
 
-func newWorker(b *Batches, batch Batch, record Record, log []Result, chunks int) *worker {
+func newWorker(b *Batches, batch Batch, record Record, previous process, log []Result, chunks int) *worker {
 	now := time.Now()
 	w := &worker{
-		Batches: b, batch: batch, epoch: record.Epoch, submitted: record.Submitted, previousOwner: record.PreviousOwner, published: log, chunks: chunks,
+		Batches: b, batch: batch, epoch: record.Epoch, submitted: record.Submitted, previous: previous, published: log, chunks: chunks,
 		expires: expiry(batch, record, now), due: dueTime(batch, record, now), latestEnd: latestEnd(batch, record, now),
 		listed:     make(map[string]bool, len(batch.Items)),
 		changed:    make(chan struct{}),
@@ -80,6 +81,9 @@
 		w.listed[result.ID] = true
 	}
 	w.noteDelivery(now)
+	if b.ToleratedZones > 0 {
+		w.copies = &copySender{worker: w, items: map[string]*itemProgress{}}
+	}
 	return w
 }
 
