--- a/internal/rollout/batch/batches.go
+++ b/internal/rollout/batch/batches.go
@@ -282,7 +282,7 @@
 	delete(b.workers, id)
 	w.cancel()
 	if record.Ended {
-		if _, late := w.awaited(); late {
+		if _, late := w.delivery(time.Now()); late {
 			b.late[id] = true
 		}
 		b.retainResults(id, w)
--- a/internal/rollout/batch/lateness.go
+++ b/internal/rollout/batch/lateness.go
@@ -31,9 +31,10 @@
 
 // trainerLags reports whether the trainer of a batch needs its results as soon as
 // possible, by what this host knows when the batch starts here: an earlier batch of the
-// same workspace and route runs here and its trainer still waits for results of it, or the
-// latest earlier one that ran here got them after it was due. A batch that ran on another
-// host counts as in time. The caller holds the lock.
+// same workspace and route runs here, its trainer still waits for results of it, and it will
+// miss its due time or is close to it, or the latest earlier one that ran here got them after
+// it was due. Trainers submit batches ahead, so that an open one alone says nothing. A batch
+// that ran on another host counts as in time. The caller holds the lock.
 func (b *Batches) trainerLags(batch Batch, record Record) bool {
 	var newest int64 // submission of the latest earlier batch
 	late := false
@@ -44,8 +45,8 @@
 		}
 		wasLate := b.late[id]
 		if w := b.workers[id]; w != nil {
-			open, missed := w.awaited()
-			if open {
+			waits, missed := w.delivery(time.Now())
+			if waits && missed {
 				return true
 			}
 			wasLate = missed
@@ -57,13 +58,13 @@
 	return late
 }
 
-// awaited reports whether the trainer still waits for results of the batch, and whether it
-// got them, or would get them now, after they were due.
-func (w *worker) awaited() (open, late bool) {
+// delivery reports whether the trainer still waits for results of the batch, and whether it
+// got them after they were due or, if it waits, is going to.
+func (w *worker) delivery(now time.Time) (waits, late bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.deliveredAt.IsZero() {
-		return true, w.isLate(time.Now())
+		return true, !w.latestEnd.IsZero() && now.After(w.latestEnd)
 	}
 	return false, w.isLate(w.deliveredAt)
 }
