Estimate how long work takes on a server, and select servers by it

Servers that send a fourth load figure say how long work takes on their machine at this moment. A work time estimate per server tells noise of a fraction of a second from a machine that stays slow: plain requests go by the figure of the last 300 ms, generations by the median over 3 s of samples. For plain requests a server at half of its slots loses the bonuses for its zone and an idle connection; the busiest was seen with 3.9 times the mean. Services whose servers send three figures are unaffected.

Fewer than eight slices are filled up with normal ones, since an episode of noise at the start counted as slow with three.

--- a/internal/backend/pool/commands.go
+++ b/internal/backend/pool/commands.go
@@ -134,8 +134,8 @@
 	})
 }
 
-// RecordEventInterval adds the time between two events of a generation to the
-// server's moving average, which starts anew after eventIntervalTTL without one.
+// RecordEventInterval adds the time between two events of a generation, the mean over
+// IntervalEvents, to the server's moving average, which starts anew after eventIntervalTTL without one.
 func (c *Choice) RecordEventInterval(now time.Time, interval time.Duration) {
 	c.update(func(e *entry) {
 		if e.eventInterval == 0 || now.Sub(e.intervalAt) >= eventIntervalTTL {
@@ -144,6 +144,7 @@
 			e.eventInterval += time.Duration(intervalWeight * float64(interval-e.eventInterval))
 		}
 		e.intervalAt = now
+		c.pool.addInterval(now, e, interval)
 	})
 }
 
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -21,6 +21,8 @@
 //     only a few requests a minute and would open a new connection for most of them.
 //  7. A server whose load reaches its slots plus the queue allowance is not
 //     selected: the caller waits or refuses the request.
+//
+// For services whose servers report work times, see the rules in worktime.go.
 package pool
 
 import (
@@ -28,6 +30,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/backend/worktime"
 )
 
 // Weights and time limits of the selection. Bonuses and penalties are in units of
@@ -102,7 +106,7 @@
 	drained map[instance]struct{} // instances that were listed as draining
 	hasList bool
 
-	sendsWorkTime map[string]bool // services of which a server has reported a work time
+	normalIntervals map[string]*worktime.Normal // by service; only of those that send work times
 
 	changed chan struct{}
 }
@@ -121,6 +125,7 @@
 	prefixes        map[string]time.Time // prefixes assumed to be cached, with their expiry
 	eventInterval   time.Duration        // average time between the events of a generation; zero if unknown
 	intervalAt      time.Time
+	workTime        worktime.Estimate
 }
 
 // Choice is a server selected for a request. The request counts against the
@@ -232,7 +237,7 @@
 		if load >= float64(e.slots()+need.QueueAllowance) {
 			continue // rule 7
 		}
-		cost := p.cost(now, e, load, need) + e.slowness(now, shortest)*slownessWeight(need.ExpectedTokens)
+		cost := p.rate(now, e, load, need, shortest)
 		if best == nil || cost < least || cost == least && e.Name < best.Name {
 			best, least = e, cost
 		}
--- a/internal/host/node/ready.go
+++ b/internal/host/node/ready.go
@@ -14,6 +14,14 @@
 	n.Meter.Gauge("batches_open", func() float64 { return float64(n.Batches.RunningCount()) })
 	n.Meter.Gauge("ready", func() float64 { return boolGauge(n.Ready()) })
 	n.Meter.Gauge("store_direct", func() float64 { return boolGauge(!n.health.Down()) })
+	n.Meter.Gauge("work_times_known", func() float64 {
+		known, _ := n.Pool.CountWorkTimes(time.Now())
+		return float64(known)
+	})
+	n.Meter.Gauge("work_times_slow", func() float64 {
+		_, slow := n.Pool.CountWorkTimes(time.Now())
+		return float64(slow)
+	})
 	n.Meter.Gauge("duty_held", func() float64 {
 		_, held := n.holder.Held(ControlDuty)
 		return boolGauge(held)
--- a/internal/rollout/batch/move.go
+++ b/internal/rollout/batch/move.go
@@ -27,7 +27,7 @@
 	// speed.
 	maxMoveRuns = 4
 	// paceWindow is the number of events over which the pace is measured.
-	paceWindow = 5
+	paceWindow = pool.IntervalEvents
 )
 
 // MoveSavesTime reports whether a generation ends sooner on another engine. Generated is
