Give each host its own order of equal servers where work times are known

Hosts that choose between equal servers by name open their first connections to the same ones and then keep to them by the bonus for an idle connection.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -27,6 +27,7 @@
 
 import (
 	"cmp"
+	"hash/maphash"
 	"slices"
 	"sync"
 	"time"
@@ -107,6 +108,7 @@
 	hasList bool
 
 	normalIntervals map[string]*worktime.Normal // by service; only of those that send work times
+	tieSeed         maphash.Seed                // see tieBreak
 
 	changed chan struct{}
 }
--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -208,4 +208,24 @@
 		Expect(fast.FastestOtherInterval(now, need)).To(Equal(50*time.Millisecond), "its own interval must not count")
 		Expect(slow.FastestOtherInterval(now.Add(time.Minute), need)).To(BeZero(), "the intervals have expired")
 	})
+
+	// Guards against hosts that all open their first connections to the same server.
+	DescribeTable("is one of many that choose between equal servers", func(workTime, least, most int) {
+		chosen := map[string]int{}
+		for range 60 {
+			p := &pool.Pool{}
+			for n := range 13 {
+				p.Put(pool.Server{Name: string(rune('a' + n)), Service: "s", Slots: 6})
+			}
+			teller, _ := p.Pick(time.Now(), pool.Need{Service: "s"})
+			teller.RecordLoad(time.Now(), pool.Load{Slots: 6, WorkTime: workTime})
+			teller.Release()
+			choice, _ := p.Pick(time.Now(), pool.Need{Service: "s", Avoid: []string{"a"}})
+			chosen[choice.Server.Name]++
+		}
+		Expect(chosen["b"]).To(And(BeNumerically(">=", least), BeNumerically("<=", most)))
+	},
+		Entry("with work times", 100, 0, 20),
+		Entry("without: by name, as before", 0, 60, 60),
+	)
 })
--- a/internal/backend/pool/worktime.go
+++ b/internal/backend/pool/worktime.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"hash/maphash"
+	"math"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/worktime"
@@ -26,6 +28,9 @@
 	// slowServer is the lasting work time from which a server counts as slow in metrics.
 	// Machines at normal speed differ by less, slow ones take 3 to 4 times as long.
 	slowServer = 2
+	// tieSpread bounds what the host's own order adds to the cost. It is less than the load
+	// per slot of one request at a server with up to 50 slots.
+	tieSpread = 0.02
 )
 
 // SendsWorkTime reports whether a server of the service has reported a work time to this
@@ -99,7 +104,15 @@
 		cost = load / slots
 	}
 	expected := e.workTime.Now(now) * max(1, (load+1)/slots)
-	return cost + expected - 1
+	return cost + expected - 1 + p.tieBreak(e.Name)
+}
+
+// tieBreak returns the position of a server in this host's own order, from 0 to tieSpread.
+func (p *Pool) tieBreak(name string) float64 {
+	if p.tieSeed == (maphash.Seed{}) {
+		p.tieSeed = maphash.MakeSeed()
+	}
+	return tieSpread * float64(maphash.String(p.tieSeed, name)) / math.MaxUint64
 }
 
 // CountWorkTimes returns the number of servers whose lasting work time is known, and of
