--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -23,15 +23,19 @@
 //     selected: the caller waits or refuses the request.
 //  8. A server in an evacuated zone is not selected, and one that is cold only as package
 //     warmup allows.
+//
+// For services whose servers report work times, see the rules in worktime.go.
 package pool
 
 import (
 	"cmp"
+	"hash/maphash"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/warmup"
+	"github.com/hyssopwall/hyssopwall/internal/backend/worktime"
 )
 
 // Weights and time limits of the selection. Bonuses and penalties are in units of
@@ -110,7 +114,8 @@
 	silent  map[string]bool       // silent zones
 	hasList bool
 
-	sendsWorkTime map[string]bool // services of which a server has reported a work time
+	normalIntervals map[string]*worktime.Normal // by service; only of those that send work times
+	tieSeed         maphash.Seed                // see tieBreak
 
 	changed chan struct{}
 	warming warming
@@ -133,6 +138,7 @@
 	eventInterval   time.Duration        // average time between the events of a generation; zero if unknown
 	intervalAt      time.Time
 	warmUp          warmup.State
+	workTime        worktime.Estimate
 }
 
 // Choice is a server selected for a request. The request counts against the
@@ -251,7 +257,7 @@
 		if !p.accepts(now, e) {
 			continue // rule 8
 		}
-		cost := p.cost(now, e, load, need) + e.slowness(now, shortest)*slownessWeight(need.ExpectedTokens)
+		cost := p.rate(now, e, load, need, shortest)
 		if best == nil || cost < least || cost == least && e.Name < best.Name {
 			best, least = e, cost
 		}
--- a/internal/host/node/ready.go
+++ b/internal/host/node/ready.go
@@ -19,6 +19,14 @@
 	n.Meter.Gauge("servers_cold", func() float64 { cold, _ := n.Pool.WarmUpCounts(); return float64(cold) })
 	n.Meter.Gauge("sends_stopped", func() float64 { _, stopped := n.Pool.WarmUpCounts(); return float64(stopped) })
 	n.Meter.Gauge("zones_evacuated", func() float64 { return float64(n.Pool.EvacuatedCount()) })
+	n.Meter.Gauge("work_times_known", func() float64 {
+		known, _ := n.Pool.CountWorkTimes(time.Now())
+		return float64(known)
+	})
+	n.Meter.Gauge("work_times_slow", func() float64 {
+		_, slow := n.Pool.CountWorkTimes(time.Now())
+		return float64(slow)
+	})
 	n.Meter.Gauge("duty_held", func() float64 {
 		_, held := n.holder.Held(ControlDuty)
 		return boolGauge(held)
