Pace the requests to servers that start or recover

Each host has a window of requests in flight at such a server, which grows with its answers and shrinks with refusals, failures and delays. When a server is first listed, four hosts send to it, and twice as many every half second. Services without a limit on cold servers are not paced.

--- a/internal/backend/pool/commands.go
+++ b/internal/backend/pool/commands.go
@@ -96,7 +96,7 @@
 	}
 	warmUp := p.merged(old, s)
 	if old == nil || old.Boot != s.Boot || old.Address != s.Address {
-		return &entry{Server: s, warmUp: warmUp}
+		return &entry{Server: s, warmUp: warmUp, window: p.newWindow(s)}
 	}
 	old.warmUp = warmUp
 	for model, version := range old.Versions {
@@ -113,7 +113,7 @@
 // new version before the platform's list does. The next Put or Replace overwrites it.
 func (c *Choice) ObserveVersion(model string, version uint64) {
 	c.update(func(e *entry) {
-		c.answered(e)
+		e.warmUp.RecordAnswer(c.pool.now())
 		if version <= e.Versions[model] {
 			return
 		}
@@ -132,7 +132,7 @@
 // RecordLoad records the load that a response reported.
 func (c *Choice) RecordLoad(now time.Time, load Load) {
 	c.update(func(e *entry) {
-		c.answered(e)
+		e.warmUp.RecordAnswer(c.pool.now())
 		e.reported, e.reportedAt, e.ownAtReport = load, now, e.ownRequests
 	})
 }
@@ -141,7 +141,7 @@
 // server's moving average, which starts anew after eventIntervalTTL without one.
 func (c *Choice) RecordEventInterval(now time.Time, interval time.Duration) {
 	c.update(func(e *entry) {
-		c.answered(e)
+		e.warmUp.RecordAnswer(c.pool.now())
 		if e.eventInterval == 0 || now.Sub(e.intervalAt) >= eventIntervalTTL {
 			e.eventInterval = interval
 		} else {
@@ -186,7 +186,10 @@
 // RecordRefusal excludes the server for initialBackoff, after it reported that it
 // did not run the request. This replaces a longer backoff that is running.
 func (c *Choice) RecordRefusal(now time.Time) {
-	c.update(func(e *entry) { c.backOff(e, now, initialBackoff) })
+	c.update(func(e *entry) {
+		c.backOff(e, now, initialBackoff)
+		c.refused(e)
+	})
 }
 
 // backOff makes the server ineligible for the given time and then notifies waiters.
@@ -208,7 +211,7 @@
 		wait := min(initialBackoff<<min(e.failures, 8), maxBackoff)
 		e.failures++
 		c.backOff(e, now, wait)
-		e.warmUp.RecordFailure(c.pool.now())
+		c.failed(e)
 		e.prefixes = nil
 	})
 }
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -22,7 +22,8 @@
 //  7. A server whose load reaches its slots plus the queue allowance is not
 //     selected: the caller waits or refuses the request.
 //  8. A server in an evacuated zone is not selected, and one that is cold only as package
-//     warmup allows.
+//     warmup allows. One that has just started or recovers has a window of requests in
+//     flight, see package pace.
 package pool
 
 import (
@@ -31,6 +32,7 @@
 	"sync"
 	"time"
 
+	"github.com/hyssopwall/hyssopwall/internal/backend/pace"
 	"github.com/hyssopwall/hyssopwall/internal/backend/warmup"
 )
 
@@ -109,6 +111,7 @@
 	warming warming
 
 	evacuations evacuations
+	paced       map[string]bool // services whose servers have windows, beside those with a limit
 }
 
 // entry is a listed server and its state on this host.
@@ -126,6 +129,7 @@
 	eventInterval   time.Duration        // average time between the events of a generation; zero if unknown
 	intervalAt      time.Time
 	warmUp          warmup.State
+	window          pace.Window
 }
 
 // Choice is a server selected for a request. The request counts against the
@@ -137,6 +141,9 @@
 	keepConnection bool // the connection stays open after the request
 	selected       bool // the request waits to be sent
 	sent           bool // Check has succeeded
+	sentAt         time.Time
+	counted        bool // an answer has been counted
+	limit          int  // requests at which the server's window ends
 }
 
 // Check returns a *LeftError, an *EvacuatedError or a *ColdError if the request must no
@@ -257,7 +264,7 @@
 	best.connectionUsed = now
 	best.addPrefix(now, need.Prefix)
 	best.warmUp.Select()
-	return &Choice{Server: best.Server, pool: p, selected: true}, true
+	return &Choice{Server: best.Server, pool: p, selected: true, limit: best.slots() + need.QueueAllowance}, true
 }
 
 // cost returns the load per slot of a server less its bonuses (rules 2 to 4 and 6).
--- a/internal/backend/pool/warmup.go
+++ b/internal/backend/pool/warmup.go
@@ -133,20 +133,21 @@
 	return p.Hooks.Rank(s)
 }
 
-// accepts reports whether a server may get a request of this host now as far as its zone and
-// its warm-up are concerned, and starts a health check if one is needed. The caller holds the
+// accepts reports whether a server may get a request of this host now as far as its zone, its
+// warm-up and its window are concerned, and starts a health check if one is needed. The caller holds the
 // lock.
 func (p *Pool) accepts(now time.Time, e *entry) bool {
 	if p.evacuations.isClosed(e.Zone) {
 		return false
 	}
-	rules, limited := p.warming.rules[e.Service]
-	if !limited {
-		return true
+	if rules := p.warming.rules[e.Service]; rules.Apply() {
+		decision := e.warmUp.Decide(now, rules, p.view(e))
+		p.checkHealth(now, e, decision)
+		if !decision.Send {
+			return false
+		}
 	}
-	decision := e.warmUp.Decide(now, rules, p.view(e))
-	p.checkHealth(now, e, decision)
-	return decision.Send
+	return p.hasWindow(now, e)
 }
 
 // checkHealth starts a health check if a decision asks for it. The caller holds the lock.
@@ -177,7 +178,7 @@
 		e.warmUp.RecordSend(now, rules)
 	}
 	c.unselect(e)
-	c.sent = true
+	c.sent, c.sentAt = true, now
 	return nil
 }
 
@@ -189,17 +190,6 @@
 	}
 }
 
-// answered records that the server has answered the request, and notifies waiters if it had
-// been silent. The caller holds the lock.
-func (c *Choice) answered(e *entry) {
-	now := c.pool.now()
-	silent := e.warmUp.IsSilent(now)
-	e.warmUp.RecordAnswer(now)
-	if silent && c.pool.warming.rules[e.Service].Apply() {
-		c.pool.notify()
-	}
-}
-
 // fits reports whether the server can ever run a request: rule 1 without the backoff and
 // without Avoid.
 func (e *entry) fits(need Need) bool {
--- a/internal/backend/pool/warmup_test.go
+++ b/internal/backend/pool/warmup_test.go
@@ -1,6 +1,7 @@
 package pool_test
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -17,7 +18,10 @@
 type warmUpScript struct {
 	Pattern string
 	Limited bool
-	Hosts   int // host i has rank i, unless Ranks says otherwise
+	Paced   bool // the service's servers have windows
+	Listed  bool // the hosts have read a first list before, without the server
+	Queue   int  // queue allowance of requests; zero counts as 100
+	Hosts   int  // host i has rank i, unless Ranks says otherwise
 	Ranks   []int
 	Steps   []warmUpStep
 }
@@ -80,7 +84,12 @@
 				if c.Data.Limited {
 					h.SetWarmUps(map[string]warmup.Rules{"s": {Rate: 7.9, Time: 20 * time.Second, Overage: 1.5, Slack: 5}})
 				}
-				h.Replace(nil)
+				if c.Data.Paced {
+					h.PaceService("s")
+				}
+				if c.Data.Listed {
+					h.Replace(nil)
+				}
 				hosts[i] = h
 			}
 			for i, s := range c.Data.Steps {
@@ -88,7 +97,7 @@
 				sent := 0
 				for at, h := range hosts {
 					if s.All || at == s.Host {
-						sent += s.run(h, now)
+						sent += s.run(h, now, cmp.Or(c.Data.Queue, 100))
 						_, closed := h.Closed(now, pool.Need{Service: "s"})
 						Expect(closed).To(Equal(s.Closed), "step %d", i)
 					}
@@ -100,8 +109,8 @@
 })
 
 // run does one step at a host and returns the number of requests that the server got.
-func (s warmUpStep) run(h *warmHost, now time.Time) (sent int) {
-	need := pool.Need{Service: "s", QueueAllowance: 100}
+func (s warmUpStep) run(h *warmHost, now time.Time, queue int) (sent int) {
+	need := pool.Need{Service: "s", QueueAllowance: queue}
 	if s.Put != nil {
 		h.Put(*s.Put)
 	}
@@ -130,8 +139,12 @@
 	if !s.Send && s.Try == 0 {
 		return 0
 	}
-	for _, choice := range h.kept {
-		err := choice.Check()
+	errs := make([]error, len(h.kept))
+	for i, choice := range h.kept {
+		errs[i] = choice.Check()
+	}
+	for i, choice := range h.kept {
+		err := errs[i]
 		if err == nil {
 			sent++
 		}
@@ -147,7 +160,7 @@
 		case s.Outcome == "answer":
 			choice.RecordSuccess()
 		case s.Outcome == "refuse":
-			choice.RecordLoad(now, pool.Load{})
+			choice.RecordRefusal(now)
 		}
 	}
 	h.kept = nil
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -219,6 +219,7 @@
 	reporter         *tally.Reporter
 	coordinator      *release.Coordinator
 	policy           atomic.Pointer[policy.Policy]
+	ranks            rankCache
 	viewKnown        atomic.Int64 // time by clock at which a followed prefix was last known to be current
 	policyKnown      atomic.Int64 // time by clock at which the configuration was last known to be current
 	draining         atomic.Bool
--- a/internal/host/node/ready.go
+++ b/internal/host/node/ready.go
@@ -16,6 +16,7 @@
 	n.Meter.Gauge("store_direct", func() float64 { return boolGauge(!n.health.Down()) })
 	n.Meter.Gauge("servers_cold", func() float64 { cold, _ := n.Pool.WarmUpCounts(); return float64(cold) })
 	n.Meter.Gauge("sends_stopped", func() float64 { _, stopped := n.Pool.WarmUpCounts(); return float64(stopped) })
+	n.Meter.Gauge("servers_paced", func() float64 { return float64(n.Pool.PacedCount()) })
 	n.Meter.Gauge("zones_evacuated", func() float64 { return float64(n.Pool.EvacuatedCount()) })
 	n.Meter.Gauge("duty_held", func() float64 {
 		_, held := n.holder.Held(ControlDuty)
--- a/internal/host/node/warmup.go
+++ b/internal/host/node/warmup.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/pool"
@@ -19,7 +20,7 @@
 // connectPool connects the pool to what this host knows about the store, the other hosts and
 // the health of servers.
 func (n *Node) connectPool() {
-	n.Pool.Hooks = pool.Hooks{ViewAge: n.viewAge, Rank: n.senderRank, CheckHealth: n.startHealthCheck}
+	n.Pool.Hooks = pool.Hooks{ViewAge: n.viewAge, Rank: n.ranks.cached(n.clock, n.senderRank), CheckHealth: n.startHealthCheck}
 }
 
 // startHealthCheck checks the health of a server in the background and reports the result to
@@ -33,6 +34,46 @@
 	}()
 }
 
+// rankTTL is how long a rank is cached. Computing one takes about 0.1 ms at a large site, and
+// each selection needs the rank for every server that is cold or has just started.
+const rankTTL = 300 * time.Millisecond
+
+// maxRanks is the number of cached ranks at which all are dropped.
+const maxRanks = 4096
+
+// rankCache caches ranks by start of a server. The zero value is ready to use.
+type rankCache struct {
+	mu    sync.Mutex
+	ranks map[string]cachedRank
+}
+
+// cachedRank is a rank and the time by clock at which it was computed.
+type cachedRank struct {
+	rank int
+	at   time.Duration
+}
+
+// rankKey returns the key of a start of a server, by which hosts are ranked.
+func rankKey(s pool.Server) string { return s.Name + "\x00" + strconv.FormatInt(s.Boot, 10) }
+
+// cached returns a function that returns the result of compute, at most rankTTL old.
+func (c *rankCache) cached(clock func() time.Duration, compute func(pool.Server) int) func(pool.Server) int {
+	return func(s pool.Server) int {
+		key, now := rankKey(s), clock()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if known, ok := c.ranks[key]; ok && now-known.at < rankTTL {
+			return known.rank
+		}
+		if c.ranks == nil || len(c.ranks) >= maxRanks {
+			c.ranks = map[string]cachedRank{}
+		}
+		rank := compute(s)
+		c.ranks[key] = cachedRank{rank, now}
+		return rank
+	}
+}
+
 // recordView records that a followed prefix was current at a time by clock.
 func (n *Node) recordView(asOf time.Duration) {
 	for {
@@ -50,7 +91,7 @@
 // server, notSender if it is none of them. The possible senders to an engine are the owners
 // of open batches of its service, those to another server are all hosts.
 func (n *Node) senderRank(server pool.Server) int {
-	key := server.Name + "\x00" + strconv.FormatInt(server.Boot, 10)
+	key := rankKey(server)
 	if !n.isEngineService(server.Service) {
 		return n.Directory.Rank(key)
 	}
--- a/internal/rollout/batch/move.go
+++ b/internal/rollout/batch/move.go
@@ -45,7 +45,7 @@
 	since  time.Time // start of the current window
 }
 
-// observe records an event. At the end of each window it reports the mean time between
+// observe records an event, and at the first one that the engine has answered. At the end of each window it reports the mean time between
 // two events to the pool, for the comparison of engines, and returns it and true.
 func (p *paceMeter) observe(now time.Time) (time.Duration, bool) {
 	if p.events%paceWindow == 0 {
@@ -54,6 +54,7 @@
 		p.since = now
 		p.events++
 		if first {
+			p.choice.RecordAnswer()
 			return 0, false
 		}
 		p.choice.RecordEventInterval(now, gap)
