Keep requests and batches within the regions that the configuration allows

A route and a workspace may each name allowed regions. Servers outside are not selected, hosts outside don't own the batches, and calls to the store, which may hold bodies, are not relayed through other regions.

--- a/internal/backend/pool/commands.go
+++ b/internal/backend/pool/commands.go
@@ -96,9 +96,9 @@
 	}
 	warmUp := p.merged(old, s)
 	if old == nil || old.Boot != s.Boot || old.Address != s.Address {
-		return &entry{Server: s, warmUp: warmUp, window: p.newWindow(s)}
+		return &entry{Server: s, warmUp: warmUp, window: p.newWindow(s), region: p.regionOf(s.Zone)}
 	}
-	old.warmUp = warmUp
+	old.warmUp, old.region = warmUp, p.regionOf(s.Zone)
 	for model, version := range old.Versions {
 		if s.Versions[model] != version {
 			old.prefixes = nil // loading other weights clears the prefix cache
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -5,7 +5,7 @@
 //
 //  1. A server is eligible if it runs the wanted service, is not draining (according
 //     to the platform's list or to one of its own responses), is not in backoff, is
-//     not in the list of servers to avoid, and holds the wanted weights version or a
+//     not in the list of servers to avoid, is in an allowed region, and holds the wanted weights version or a
 //     newer one.
 //  2. Among the eligible servers, the one with the least load per slot is selected.
 //     The load is the number of this host's requests there, plus the load beyond
@@ -89,11 +89,12 @@
 type Need struct {
 	Service        string
 	Model          string
-	MinVersion     uint64   // oldest acceptable weights version; zero accepts all
-	Prefix         string   // identifies the shared prefix of the prompt; empty for none
-	QueueAllowance int      // requests beyond its slots that may queue at the server
-	ExpectedTokens int      // estimated tokens to generate; zero for plain requests
-	Avoid          []string // names of servers that must not be selected
+	MinVersion     uint64     // oldest acceptable weights version; zero accepts all
+	Prefix         string     // identifies the shared prefix of the prompt; empty for none
+	QueueAllowance int        // requests beyond its slots that may queue at the server
+	ExpectedTokens int        // estimated tokens to generate; zero for plain requests
+	Avoid          []string   // names of servers that must not be selected
+	Regions        [][]string // lists of regions; the server must be in a region of each of them
 }
 
 // Pool holds the servers and their state. It is safe for concurrent use. Zone is
@@ -101,6 +102,8 @@
 type Pool struct {
 	Zone  string
 	Hooks Hooks
+	// RegionOf returns the region of a zone, empty if unknown; nil means that none is known.
+	RegionOf func(zone string) string
 
 	mu      sync.Mutex
 	servers map[string]*entry
@@ -130,6 +133,7 @@
 	intervalAt      time.Time
 	warmUp          warmup.State
 	window          pace.Window
+	region          string // of the server's zone, empty if unknown
 }
 
 // Choice is a server selected for a request. The request counts against the
@@ -314,7 +318,7 @@
 	switch {
 	case e.Service != need.Service, e.Draining, now.Before(e.backoffUntil):
 		return false
-	case slices.Contains(need.Avoid, e.Name):
+	case slices.Contains(need.Avoid, e.Name), !e.inRegions(need.Regions):
 		return false
 	case need.MinVersion > 0 && e.Versions[need.Model] < need.MinVersion:
 		return false
--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -20,6 +20,7 @@
 type script struct {
 	Pattern string
 	Zone    string
+	Regions map[string]string // by zone
 	Servers []pool.Server
 	Steps   []step
 }
@@ -51,7 +52,7 @@
 	for _, c := range all {
 		It(c.Name+": "+c.Data.Pattern, func() {
 			now := time.Unix(1_800_000_000, 0)
-			p := &pool.Pool{Zone: c.Data.Zone}
+			p := &pool.Pool{Zone: c.Data.Zone, RegionOf: func(zone string) string { return c.Data.Regions[zone] }}
 			Expect(p.HasList()).To(BeFalse())
 			p.Replace(c.Data.Servers)
 			for i, s := range c.Data.Steps {
--- a/internal/backend/pool/warmup.go
+++ b/internal/backend/pool/warmup.go
@@ -193,7 +193,7 @@
 // fits reports whether the server can ever run a request: rule 1 without the backoff and
 // without Avoid.
 func (e *entry) fits(need Need) bool {
-	return e.Service == need.Service && !e.Draining && (need.MinVersion == 0 || e.Versions[need.Model] >= need.MinVersion)
+	return e.Service == need.Service && !e.Draining && e.inRegions(need.Regions) && (need.MinVersion == 0 || e.Versions[need.Model] >= need.MinVersion)
 }
 
 // mayUse reports whether this host may send to a server at all: its zone is not evacuated, and
--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -27,6 +27,8 @@
 	// Owed says that the request belongs to an accepted batch. It is neither suspected of
 	// crashing servers nor refused for it.
 	Owed bool
+	// Regions are lists of regions. A server has to be in a region of each of them.
+	Regions [][]string
 	// NewConnection requests a new connection. On one that has carried the request
 	// before, a second copy of that response may still arrive and can't be told apart
 	// from the next response.
--- a/internal/entry/forward/result.go
+++ b/internal/entry/forward/result.go
@@ -138,7 +138,7 @@
 	}
 	r.state.Attempts--
 	decision := r.apply(attempt.Event{Kind: attempt.EventRefused, AttemptID: got.attemptID, BudgetAllows: r.refusals < maxRefusals})
-	if decision.Do == attempt.DoSend && len(r.avoid) >= r.Pool.UsableCount(pool.Need{Service: r.service}) {
+	if decision.Do == attempt.DoSend && len(r.avoid) >= r.Pool.UsableCount(r.need()) {
 		select {
 		case <-time.After(refusalPause):
 		case <-ctx.Done():
--- a/internal/entry/forward/send.go
+++ b/internal/entry/forward/send.go
@@ -48,7 +48,7 @@
 
 // need returns the request's requirements on its server.
 func (r *run) need() pool.Need {
-	return pool.Need{Service: r.service, QueueAllowance: maxQueued, Avoid: r.avoid}
+	return pool.Need{Service: r.service, QueueAllowance: maxQueued, Avoid: r.avoid, Regions: r.request.Regions}
 }
 
 // send waits for free capacity on a server, until maxWaitShare of the latency target
--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -63,6 +63,9 @@
 type Directory struct {
 	Self Host
 	HTTP *http.Client
+	// MayRelay reports whether the host's calls to the store may go through another host; nil
+	// means that they may.
+	MayRelay func(Host) bool
 
 	answeredAt atomic.Pointer[time.Time] // see LastAnswer; nil for never
 
--- a/internal/fleet/peer/relay.go
+++ b/internal/fleet/peer/relay.go
@@ -292,6 +292,7 @@
 	for _, h := range hosts {
 		switch {
 		case h.Name == r.Directory.Self.Name:
+		case r.Directory.MayRelay != nil && !r.Directory.MayRelay(h):
 		case h.Zone == r.Directory.Self.Zone:
 			sameZone = append(sameZone, h.Name)
 		default:
--- a/internal/host/node/learn.go
+++ b/internal/host/node/learn.go
@@ -51,6 +51,7 @@
 	}
 	n.policy.Store(next)
 	n.applyWarmUps(next)
+	n.checkRegions(next)
 	n.Log.Emit(event.ConfigurationApplied, "version", next.Version, "revision", o.Version,
 		"routes", len(next.Routes), "workspaces", len(next.Workspaces), "withdrawn", len(withdrawn))
 	return true
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -31,8 +31,12 @@
 // zone. Listen, Ready and Internal are the addresses to listen at for callers, for the
 // readiness check and for other hosts.
 type Settings struct {
-	Host     string
-	Zone     string
+	Host string
+	Zone string
+	// Region is the region of this host, and Zones holds the region of each zone. Without
+	// Zones, all zones are in Region.
+	Region   string
+	Zones    map[string]string
 	Listen   string
 	Ready    string
 	Internal string
@@ -220,6 +224,7 @@
 	coordinator      *release.Coordinator
 	policy           atomic.Pointer[policy.Policy]
 	ranks            rankCache
+	regionsBind      atomic.Bool  // the configuration names regions
 	viewKnown        atomic.Int64 // time by clock at which a followed prefix was last known to be current
 	policyKnown      atomic.Int64 // time by clock at which the configuration was last known to be current
 	draining         atomic.Bool
@@ -247,16 +252,20 @@
 
 // New assembles a host. Run starts it.
 func New(settings Settings, platform Platform, log event.Log) *Node {
+	if settings.Region == "" {
+		settings.Region = settings.Zones[settings.Zone]
+	}
 	n := &Node{Settings: settings, Platform: platform, Log: log, Incarnation: uint64(time.Now().UnixNano()), timeSource: lease.BootClock{}, hostsListed: make(chan struct{}), done: make(chan struct{}), retiredHosts: map[string]bool{}, evacuated: map[string]bool{}}
 	n.startedAt = n.clock()
 	n.ending, n.end = context.WithCancel(context.Background()) //nolint:gosec // shutDown calls it
 	n.outage.LossTimeout = outageLogDelay
 	n.Meter = meter.New()
-	n.Pool = &pool.Pool{Zone: settings.Zone}
+	n.Pool = &pool.Pool{Zone: settings.Zone, RegionOf: n.regionOf}
 	n.Tally = &tally.Tally{WindowLength: settings.UsageWindow}
 	n.Directory = &peer.Directory{Self: peer.Host{
 		Name: settings.Host, Zone: settings.Zone, Address: settings.Internal, Incarnation: n.Incarnation,
 	}, HTTP: rest.ClientConfig{DialTimeout: peerDialTimeout}.Client()}
+	n.Directory.MayRelay = n.mayRelay
 	n.Log = log.Tap(func(e event.Entry) { n.Meter.Count("events_total", "event", e.Number.String()) })
 	n.health.Log, n.health.WatchesStore = n.Log, n.Directory.WatchesStore
 	n.store = n.relayedStore(object.WatchWait)
@@ -281,6 +290,7 @@
 		Host: settings.Host, Incarnation: n.Incarnation, Store: n.store, Peers: peers{n.Directory},
 		Pool: n.Pool, Engine: platform.Engine, ScorerClient: scorerClient{n},
 		StoreReachable: func() bool { return n.policyAge() < maxReachableAge }, RetryAfter: n.outageRetryAfter,
+		Region: settings.Region, HostsOutside: n.hostsOutside,
 		Log: n.Log, Meter: n.Meter,
 	}
 	n.connectPool()
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -181,6 +181,7 @@
 	response, err := s.Forwarder.Do(ctx, route, forward.Request{
 		ID: scorer.ID, Host: scorer.Host, Method: http.MethodPost, Target: scorer.Target,
 		Body: scorer.Body, TimeLeft: scoreTimeout, Priority: -1, Owed: true,
+		Regions: append(p.Regions(route, ""), scorer.Regions...),
 	})
 	switch {
 	case err != nil:
--- a/internal/host/node/stop.go
+++ b/internal/host/node/stop.go
@@ -65,6 +65,9 @@
 		n.Log.Emit(event.RequestRefused, "request", request.ID, "reason", StoppingHost, "left", allowed.Milliseconds(), "after", retryAfterStopping.String())
 		return forward.Response{}, &forward.RefusedError{Reason: StoppingHost, RetryAfter: retryAfterStopping}
 	}
+	if p := n.Policy(); p != nil {
+		request.Regions = p.Regions(route, request.Workspace)
+	}
 	return n.Forwarder.Do(ctx, route, request)
 }
 
--- a/internal/rollout/batch/assign.go
+++ b/internal/rollout/batch/assign.go
@@ -133,13 +133,14 @@
 type demand struct {
 	service, model string
 	minVersion     uint64
+	regions        string
 }
 
 // assign gives the waiters free engines, in order. The caller holds the lock.
 func (a *assigner) assign(now time.Time) {
 	full := map[demand]bool{}
 	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool {
-		kind := demand{w.need.Service, w.need.Model, w.need.MinVersion}
+		kind := demand{w.need.Service, w.need.Model, w.need.MinVersion, regionsKey(w.need.Regions)}
 		if full[kind] {
 			return false
 		}
--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -53,6 +53,7 @@
 	Attempts      int           `json:"attempts"`
 	Expiry        time.Duration `json:"expiry"`
 	Items         []Item        `json:"items"`
+	Regions       [][]string    `json:"regions,omitempty"` // lists of regions; items run only in a region of each of them
 }
 
 // Item is one generation of a batch. Prefix identifies the part of its prompt that it
@@ -72,10 +73,11 @@
 
 // Scorer is the request that scores a finished item.
 type Scorer struct {
-	ID     string `json:"id"`
-	Host   string `json:"host"`
-	Target string `json:"target"`
-	Body   []byte `json:"body"`
+	ID      string     `json:"id"`
+	Host    string     `json:"host"`
+	Target  string     `json:"target"`
+	Body    []byte     `json:"body"`
+	Regions [][]string `json:"regions,omitempty"` // as Batch.Regions
 }
 
 // Tokens returns the estimated number of tokens to generate for all items.
@@ -137,6 +139,8 @@
 	Epoch         uint64 `json:"epoch"`
 	PreviousOwner string `json:"last,omitempty"`
 	Ended         bool   `json:"ended,omitempty"`
+	// Regions are the regions whose hosts may own the batch, empty for all.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // State is the final state of an item.
--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -39,12 +39,13 @@
 	batchesByHost map[string]*batch.Batches
 	cancels       map[string]context.CancelFunc // stops a host
 	dead          map[string]bool
-	home          string          // first in rank for all batches; empty: the host that accepts one
-	noStarts      map[string]bool // hosts that receive no start message
-	sick          map[string]bool // hosts that report that they do not reach the store
-	claimsOpen    map[string]bool // hosts whose ping says that they accept batches, although they don't any more
-	partialsDelay time.Duration   // before a request for partial results is answered
-	noPartials    map[string]bool // hosts that never answer a request for partial results
+	home          string               // first in rank for all batches; empty: the host that accepts one
+	noStarts      map[string]bool      // hosts that receive no start message
+	sick          map[string]bool      // hosts that report that they do not reach the store
+	claimsOpen    map[string]bool      // hosts whose ping says that they accept batches, although they don't any more
+	partialsDelay time.Duration        // before a request for partial results is answered
+	noPartials    map[string]bool      // hosts that never answer a request for partial results
+	configure     func(*batch.Batches) // applied to a host before it starts
 }
 
 func newSite(ctx context.Context, hosts ...string) *site {
@@ -69,6 +70,9 @@
 		Engine: s.gen, ScorerClient: s.gen, StoreReachable: func() bool { return true }, RetryAfter: func() time.Duration { return time.Second },
 		Log: event.Log{Sink: func(e event.Entry, pairs []any) { GinkgoWriter.Println(host, e.Text, pairs) }},
 	}
+	if s.configure != nil {
+		s.configure(batches)
+	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.mu.Lock()
 	s.batchesByHost[host], s.cancels[host], s.dead[host] = batches, cancel, false
--- a/internal/rollout/batch/batches.go
+++ b/internal/rollout/batch/batches.go
@@ -155,8 +155,12 @@
 	// RetryAfter returns the time after which the caller of a refused batch should return
 	// while the store is away.
 	RetryAfter func() time.Duration
-	Log        event.Log
-	Meter      *meter.Meter // optional
+	// Region is the region of this host. HostsOutside returns the other hosts that are in none
+	// of the given regions; nil means that there are none.
+	Region       string
+	HostsOutside func(regions []string) []string
+	Log          event.Log
+	Meter        *meter.Meter // optional
 
 	mu          sync.Mutex
 	ctx         context.Context     // of Run; nil before it is called
--- a/internal/rollout/batch/commands.go
+++ b/internal/rollout/batch/commands.go
@@ -32,11 +32,13 @@
 	if err := b.storage().writeBody(ctx, batch.ID, body); err != nil {
 		return &UnavailableError{Err: err, RetryAfter: b.RetryAfter()} // a body without a record is never run
 	}
-	owner, incarnation := b.chooseOwner(ctx, batch)
+	regions := b.ownerRegions(batch)
+	owner, incarnation := b.chooseOwner(ctx, batch, regions)
 	record := Record{
 		Workspace: batch.Workspace, Route: batch.Route, Service: batch.Service, Model: batch.Model, MinVersion: batch.MinVersion, Step: batch.Step,
 		Tokens: batch.Tokens(), Total: len(batch.Items), Parts: len(body.parts), Body: body.digest,
 		Submitted: time.Now().UnixMilli(), Owner: owner, Incarnation: incarnation, Epoch: 1,
+		Regions: regions,
 	}
 	return b.create(ctx, batch, record)
 }
--- a/internal/rollout/batch/generate.go
+++ b/internal/rollout/batch/generate.go
@@ -89,6 +89,7 @@
 	return pool.Need{
 		Service: g.batch.Service, Model: g.batch.Model, MinVersion: g.batch.MinVersion,
 		Prefix: g.item.Prefix, QueueAllowance: engineQueueLimit, ExpectedTokens: g.item.Length,
+		Regions: g.batch.Regions,
 	}
 }
 
--- a/internal/rollout/batch/home.go
+++ b/internal/rollout/batch/home.go
@@ -24,8 +24,9 @@
 )
 
 // chooseOwner returns the host that is to own a batch, and the incarnation of its process.
-func (b *Batches) chooseOwner(ctx context.Context, batch Batch) (string, uint64) {
-	for _, host := range b.Peers.First(batch.Workspace+"\x00"+batch.Route, homeCandidates) {
+// Regions are those whose hosts may own it, empty for all.
+func (b *Batches) chooseOwner(ctx context.Context, batch Batch, regions []string) (string, uint64) {
+	for _, host := range b.firstInRegions(batch.Workspace+"\x00"+batch.Route, homeCandidates, regions) {
 		if host == b.Host {
 			break
 		}
--- a/internal/rollout/batch/takeover.go
+++ b/internal/rollout/batch/takeover.go
@@ -54,7 +54,7 @@
 
 // openWithoutWorker returns the batches that have not ended and that this host does not
 // run, including those that it owns and has not started. It leaves out those whose logs
-// are complete, and returns none while this host drains.
+// are complete or that it may not own, and returns none while this host drains.
 func (b *Batches) openWithoutWorker(complete map[string]bool) map[string]known {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -63,7 +63,7 @@
 		return open
 	}
 	for id, k := range b.known {
-		if !k.Ended && b.workers[id] == nil && !complete[id] {
+		if !k.Ended && b.workers[id] == nil && !complete[id] && b.mayOwn(k.Record) {
 			open[id] = k
 		}
 	}
@@ -82,7 +82,7 @@
 			misses[id]++
 			continue
 		}
-		if k.Owner == b.Host || polled[k.Owner] || b.Peers.Rank(id, k.Owner) >= watchersPerOwner {
+		if k.Owner == b.Host || polled[k.Owner] || b.rank(id, k.Record, k.Owner) >= watchersPerOwner {
 			continue
 		}
 		polled[k.Owner] = true
@@ -110,7 +110,7 @@
 	if k.Owner == b.Host { // owned by an earlier process, or the start message was lost
 		return k.Incarnation != b.Incarnation || misses[id] > maxStartMisses
 	}
-	rank := b.Peers.Rank(id, k.Owner, k.PreviousOwner)
+	rank := b.rank(id, k.Record, k.Owner, k.PreviousOwner)
 	if k.Owner == "" { // its owner drained; the first in rank may be gone too
 		return misses[id] > rank*missesPerRank
 	}
--- a/internal/site/event/site.go
+++ b/internal/site/event/site.go
@@ -27,6 +27,7 @@
 	ZoneEvacuated
 	ZoneReopened
 	EvacuationsUnread
+	RegionUnknown
 )
 
 func siteEvents() []Entry {
@@ -54,5 +55,6 @@
 		{ZoneEvacuated, Warning, "zone evacuated", "The platform ordered it; this host sends nothing more to servers in the zone.", "Nothing."},
 		{ZoneReopened, Info, "zone no longer evacuated", "The platform removed the order; the zone's servers count as cold at first.", "Nothing."},
 		{EvacuationsUnread, Warning, "evacuations unread", "Neither the store nor another host let this host read the evacuated zones since its start; it serves without them.", "Check the network path from this host to the store."},
+		{RegionUnknown, Warning, "unknown region", "The configuration allows requests only in a region that no zone of the settings belongs to.", "Correct allowed_regions of the named route or workspace, or the zones of the settings."},
 	}
 }
--- a/internal/site/policy/policy.go
+++ b/internal/site/policy/policy.go
@@ -57,6 +57,7 @@
 	SingleVersion    bool          // one weights version per sample
 	CompletionTarget time.Duration // batches: time after which all results should be complete
 	ItemTTL          time.Duration // batches: time after which an unfinished item may fail
+	Regions          []string      // in which requests may run and their bodies may be kept; empty for all
 }
 
 // Target is a service that gets a share of a route's requests, in proportion to Weight.
@@ -92,6 +93,7 @@
 	Name       string
 	KeyDigests []string // SHA-256 in hexadecimal
 	Priority   *int     // overrides the route's priority
+	Regions    []string // as Route.Regions; both bind
 }
 
 // Limits bound the size of requests and the time to send a header or stay idle. Only
@@ -128,6 +130,21 @@
 	return route.Priority
 }
 
+// Regions returns the lists of regions that bind the requests of a workspace on a route. A
+// region has to be in each of them.
+func (p *Policy) Regions(route Route, workspace string) [][]string {
+	var lists [][]string
+	if len(route.Regions) > 0 {
+		lists = append(lists, route.Regions)
+	}
+	for _, w := range p.Workspaces {
+		if w.Name == workspace && len(w.Regions) > 0 {
+			lists = append(lists, w.Regions)
+		}
+	}
+	return lists
+}
+
 // ChooseService returns the service for a random draw in [0, 1), by the targets' weights.
 // A negative weight counts as zero. If all weights are zero it returns the last target's
 // service, and without targets the empty string.
