--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -5,8 +5,8 @@
 //
 //  1. A server is eligible if it runs the wanted service, is not draining (according
 //     to the platform's list or to one of its own responses), is not in backoff, is
-//     not in the list of servers to avoid, is not in a silent zone, and holds the wanted
-//     weights version or a newer one.
+//     not in the list of servers to avoid, is not in a silent zone, is in an allowed
+//     region, and holds the wanted weights version or a newer one.
 //  2. Among the eligible servers, the one with the least load per slot is selected.
 //     The load is the number of this host's requests there, plus the load beyond
 //     those that the server last reported, while the report is recent.
@@ -22,7 +22,8 @@
 //  7. A server whose load reaches its slots plus the queue allowance is not
 //     selected: the caller waits or refuses the request.
 //  8. A server in an evacuated zone is not selected, and one that is cold only as package
-//     warmup allows.
+//     warmup allows. One that has just started or recovers has a window of requests in
+//     flight, see package pace.
 //
 // For services whose servers report work times, see the rules in worktime.go.
 package pool
@@ -34,6 +35,7 @@
 	"sync"
 	"time"
 
+	"github.com/hyssopwall/hyssopwall/internal/backend/pace"
 	"github.com/hyssopwall/hyssopwall/internal/backend/warmup"
 	"github.com/hyssopwall/hyssopwall/internal/backend/worktime"
 )
@@ -94,11 +96,12 @@
 type Need struct {
 	Service        string
 	Model          string
-	MinVersion     uint64   // oldest acceptable weights version; zero accepts all
-	Prefix         string   // identifies the shared prefix of the prompt; empty for none
-	QueueAllowance int      // requests beyond its slots that may queue at the server
-	ExpectedTokens int      // estimated tokens to generate; zero for plain requests
-	Avoid          []string // names of servers that must not be selected
+	MinVersion     uint64     // oldest acceptable weights version; zero accepts all
+	Prefix         string     // identifies the shared prefix of the prompt; empty for none
+	QueueAllowance int        // requests beyond its slots that may queue at the server
+	ExpectedTokens int        // estimated tokens to generate; zero for plain requests
+	Avoid          []string   // names of servers that must not be selected
+	Regions        [][]string // lists of regions; the server must be in a region of each of them
 }
 
 // Pool holds the servers and their state. It is safe for concurrent use. Zone is
@@ -106,6 +109,8 @@
 type Pool struct {
 	Zone  string
 	Hooks Hooks
+	// RegionOf returns the region of a zone, empty if unknown; nil means that none is known.
+	RegionOf func(zone string) string
 
 	mu      sync.Mutex
 	servers map[string]*entry
@@ -121,6 +126,7 @@
 	warming warming
 
 	evacuations evacuations
+	paced       map[string]bool // services whose servers have windows, beside those with a limit
 }
 
 // entry is a listed server and its state on this host.
@@ -139,6 +145,8 @@
 	intervalAt      time.Time
 	warmUp          warmup.State
 	workTime        worktime.Estimate
+	window          pace.Window
+	region          string // of the server's zone, empty if unknown
 }
 
 // Choice is a server selected for a request. The request counts against the
@@ -150,6 +158,9 @@
 	keepConnection bool // the connection stays open after the request
 	selected       bool // the request waits to be sent
 	sent           bool // Check has succeeded
+	sentAt         time.Time
+	counted        bool // an answer has been counted
+	limit          int  // requests at which the server's window ends
 }
 
 // Check returns a *LeftError, an *EvacuatedError or a *ColdError if the request must no
@@ -270,7 +281,7 @@
 	best.connectionUsed = now
 	best.addPrefix(now, need.Prefix)
 	best.warmUp.Select()
-	return &Choice{Server: best.Server, pool: p, selected: true}, true
+	return &Choice{Server: best.Server, pool: p, selected: true, limit: best.slots() + need.QueueAllowance}, true
 }
 
 // cost returns the load per slot of a server less its bonuses (rules 2 to 4 and 6).
@@ -320,7 +331,7 @@
 	switch {
 	case e.Service != need.Service, e.Draining, now.Before(e.backoffUntil):
 		return false
-	case slices.Contains(need.Avoid, e.Name):
+	case slices.Contains(need.Avoid, e.Name), !e.inRegions(need.Regions):
 		return false
 	case need.MinVersion > 0 && e.Versions[need.Model] < need.MinVersion:
 		return false
--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -47,7 +47,8 @@
 	partialsDelay time.Duration   // before a request for partial results is answered
 	noPartials    map[string]bool // hosts that never answer a request for partial results
 	zones         zones
-	silence       *silence.Watch // of hosts that are started from now on
+	silence       *silence.Watch       // of hosts that are started from now on
+	configure     func(*batch.Batches) // applied to a host before it starts
 }
 
 func newSite(ctx context.Context, hosts ...string) *site {
@@ -73,6 +74,9 @@
 		Engine: s.gen, ScorerClient: s.gen, Zones: s.silence, StoreReachable: func() bool { return true }, RetryAfter: func() time.Duration { return time.Second },
 		Log: event.Log{Sink: func(e event.Entry, pairs []any) { GinkgoWriter.Println(host, e.Text, pairs) }},
 	}
+	if s.configure != nil {
+		s.configure(batches)
+	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.mu.Lock()
 	s.batchesByHost[host], s.cancels[host], s.dead[host] = batches, cancel, false
--- a/internal/rollout/batch/batches.go
+++ b/internal/rollout/batch/batches.go
@@ -168,6 +168,10 @@
 	// RetryAfter returns the time after which the caller of a refused batch should return
 	// while the store is away.
 	RetryAfter func() time.Duration
+	// Region is the region of this host. HostsOutside returns the other hosts that are in none
+	// of the given regions; nil means that there are none.
+	Region       string
+	HostsOutside func(regions []string) []string
 	// Zones ends the generations in zones that go silent; optional.
 	Zones *silence.Watch
 	Log   event.Log
--- a/internal/rollout/batch/rank.go
+++ b/internal/rollout/batch/rank.go
@@ -44,23 +44,33 @@
 // batch. The owner of a batch without one is the host that drained.
 func (b *Batches) takeoverRank(id string, k known) int {
 	if b.ToleratedZones <= 0 {
-		return b.Peers.Rank(id, k.Owner, k.PreviousOwner)
+		return b.rank(id, k.Record, k.Owner, k.PreviousOwner)
 	}
 	owner, previousOwner := k.Owner, k.PreviousOwner
 	if owner == "" {
 		owner, previousOwner = k.PreviousOwner, ""
 	}
-	order := succession(b.Peers.Ranked(id), owner, previousOwner)
+	order := succession(b.rankedInRegions(id, k.Regions), owner, previousOwner)
 	if at := slices.Index(order, b.Host); at >= 0 {
 		return at
 	}
 	return len(order) // this host drained, or is not in the list of hosts
 }
 
+// rankedInRegions returns the hosts that may own a batch of the regions, in the order of its
+// rank.
+func (b *Batches) rankedInRegions(id string, regions []string) []RankedHost {
+	ranked, outside := b.Peers.Ranked(id), b.outside(regions)
+	if len(outside) == 0 {
+		return ranked
+	}
+	return slices.DeleteFunc(ranked, func(h RankedHost) bool { return slices.Contains(outside, h.Name) })
+}
+
 // watchesOwner reports whether this host is one of those that watch the owner of a batch.
 func (b *Batches) watchesOwner(id string, k known) bool {
 	if b.ToleratedZones <= 0 {
-		return b.Peers.Rank(id, k.Owner) < watchersPerOwner
+		return b.rank(id, k.Record, k.Owner) < watchersPerOwner
 	}
 	return b.takeoverRank(id, k) < watchersPerOwner
 }
--- a/internal/rollout/batch/standby.go
+++ b/internal/rollout/batch/standby.go
@@ -184,7 +184,7 @@
 // returns false if there is no other host.
 func (c *copySender) chooseStandby() bool {
 	w := c.worker
-	order := succession(w.Peers.Ranked(w.batch.ID), w.Host, w.previous.host)
+	order := succession(w.rankedInRegions(w.batch.ID, w.ownerRegions(w.batch)), w.Host, w.previous.host)
 	order = order[:min(len(order), maxStandbys)]
 	at := slices.IndexFunc(order, func(host string) bool { return !c.failed[host] })
 	if at < 0 { // all have failed: try them again
@@ -280,7 +280,7 @@
 	ctx, cancel := context.WithTimeout(ctx, partialsTimeout)
 	defer cancel()
 	// One host more than an owner tries, because the owner puts its own previous owner last.
-	order := succession(w.Peers.Ranked(w.batch.ID), w.previous.host, "")
+	order := succession(w.rankedInRegions(w.batch.ID, w.ownerRegions(w.batch)), w.previous.host, "")
 	order = order[:min(len(order), maxStandbys+1)]
 	replies := make([]PartialsReply, len(order)+1)
 	replies[len(order)] = w.heldCopy(w.batch.ID)
--- a/internal/rollout/batch/takeover.go
+++ b/internal/rollout/batch/takeover.go
@@ -107,7 +107,7 @@
 
 // openWithoutWorker returns the batches that have not ended and that this host does not
 // run, including those that it owns and has not started. It leaves out those whose logs
-// are complete, and returns none while this host drains.
+// are complete or that it may not own, and returns none while this host drains.
 func (b *Batches) openWithoutWorker(attempts *takeoverAttempts) map[string]known {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -116,7 +116,7 @@
 		return open
 	}
 	for id, k := range b.known {
-		if !k.Ended && b.workers[id] == nil && !attempts.isComplete(id) {
+		if !k.Ended && b.workers[id] == nil && !attempts.isComplete(id) && b.mayOwn(k.Record) {
 			open[id] = k
 		}
 	}
