--- a/internal/backend/pool/pacing.go
+++ b/internal/backend/pool/pacing.go
@@ -87,7 +87,11 @@
 
 // failed records that the request or its connection has failed. The caller holds the lock.
 func (c *Choice) failed(e *entry) {
-	now := c.pool.now()
+	p := c.pool
+	now := p.now()
+	if !e.warmUp.CheckNeeded() && p.warming.rules[e.Service].Apply() && p.Hooks.ReportFailure != nil {
+		p.Hooks.ReportFailure(e.Server)
+	}
 	e.warmUp.RecordFailure(now)
 	e.window.Fail(now)
 }
--- a/internal/backend/pool/warmup.go
+++ b/internal/backend/pool/warmup.go
@@ -19,6 +19,9 @@
 	Rank func(s Server) int
 	// CheckHealth starts a health check of a server, whose end is reported by RecordHealth.
 	CheckHealth func(s Server, started time.Time)
+	// ReportFailure tells the other possible senders that a request to a server of a service
+	// with a limit has failed, unless that was known. They pass it to RecordBreak.
+	ReportFailure func(s Server)
 }
 
 // warming holds what a pool knows of the warm-up of servers. The zero value has no limits.
@@ -54,6 +57,16 @@
 	return turnedCold && p.warming.rules[s.Service].Apply()
 }
 
+// RecordBreak records that another host's request to an instance of a server has failed, so
+// that its health is checked before the next request if its service has a limit.
+func (p *Pool) RecordBreak(name string, boot int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.current(instance{name, boot}); e != nil {
+		e.warmUp.RecordFailure(p.now())
+	}
+}
+
 // RecordHealth records the end of a health check of an instance of a server, which started at
 // the given time. It notifies waiters if the server answered.
 func (p *Pool) RecordHealth(s Server, started time.Time, answered bool) {
--- a/internal/backend/warmup/warmup.go
+++ b/internal/backend/warmup/warmup.go
@@ -4,14 +4,15 @@
 // addresses the load on one server; how requests are spread over servers is up to package
 // pool.
 //
-// Hosts exchange no messages about it. Rules, by which a host decides from its own knowledge:
+// Rules, by which a host decides from its own knowledge:
 //
 //  1. Only the host that is first in rank among the possible senders of the service sends to
 //     a cold server, and only while its view of the store is recent.
 //  2. Each host sends a cold server at most a third of the limit within a window, so that
 //     three hosts that disagree about the rank stay within it.
-//  3. After a failure a host sends nothing until a health check has been answered. A host
-//     whose view is old also needs a recent health check of a server that it takes for warm.
+//  3. After a failure, its own or one that another host reports, a host sends nothing until a
+//     health check has been answered. A host whose view is old also needs a recent health check
+//     of a server that it takes for warm.
 //  4. A server that has not answered this host recently gets at most a third of the limit
 //     within a window, since it may have started again.
 package warmup
@@ -30,9 +31,12 @@
 	// maxViewAge is the age of the view of the store up to which a host may send to a cold
 	// server.
 	maxViewAge = 2 * time.Second
-	// answerTTL is the age of the latest answer, or health check, beyond which a server may
-	// have started again unnoticed.
+	// answerTTL is the age of the latest answer beyond which a server may have started again
+	// unnoticed.
 	answerTTL = 2500 * time.Millisecond
+	// staleCheckTTL is the age of the latest health check beyond which a host with an old view
+	// checks a server again. Other answers don't show that a server has turned cold.
+	staleCheckTTL = time.Second
 	// checkInterval is the minimum time between two health checks of a server.
 	checkInterval = 500 * time.Millisecond
 	// listLag is how much older the platform's list may be than a response. Within this time
@@ -160,7 +164,7 @@
 	}
 	checkDue := now.Sub(s.checkedAt) >= checkInterval
 	stale := v.Age > maxViewAge
-	if s.checkNeeded() || stale && now.Sub(s.healthyAt) > answerTTL {
+	if s.CheckNeeded() || stale && now.Sub(s.healthyAt) > staleCheckTTL {
 		return Decision{Check: checkDue} // rule 3
 	}
 	count := s.recent(now, r) + waiting
@@ -174,9 +178,9 @@
 	return Decision{Send: true}
 }
 
-// checkNeeded reports whether no health check that started after the latest failure has been
+// CheckNeeded reports whether no health check that started after the latest failure has been
 // answered.
-func (s *State) checkNeeded() bool { return !s.failedAt.IsZero() && !s.healthyAt.After(s.failedAt) }
+func (s *State) CheckNeeded() bool { return !s.failedAt.IsZero() && !s.healthyAt.After(s.failedAt) }
 
 // recent returns the number of sends within the window, at most one share.
 func (s *State) recent(now time.Time, r Rules) int {
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -224,9 +224,11 @@
 	coordinator      *release.Coordinator
 	policy           atomic.Pointer[policy.Policy]
 	ranks            rankCache
-	regionsBind      atomic.Bool  // the configuration names regions
-	viewKnown        atomic.Int64 // time by clock at which a followed prefix was last known to be current
-	policyKnown      atomic.Int64 // time by clock at which the configuration was last known to be current
+	reports          int           // failures reported since reportsSince; used by the pool's hook only
+	reportsSince     time.Duration // time by clock
+	regionsBind      atomic.Bool   // the configuration names regions
+	viewKnown        atomic.Int64  // time by clock at which a followed prefix was last known to be current
+	policyKnown      atomic.Int64  // time by clock at which the configuration was last known to be current
 	draining         atomic.Bool
 	drainingSince    atomic.Int64    // time by clock at which a planned stop began
 	ending           context.Context // ends when requests in flight get their final response
--- a/internal/rollout/release/release.go
+++ b/internal/rollout/release/release.go
@@ -282,12 +282,7 @@
 	}
 	orders := c.knownStatus(server).AcceptedOrders
 	err := c.Holder.Do(ctx, c.Duty, func(ctx context.Context, grant lease.Grant) error {
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		if c.Pool.IsEvacuated(server.Zone) { // since the load was planned
-			return &pool.EvacuatedError{Server: server.Name, Zone: server.Zone}
-		}
-		return c.Engines.Load(ctx, server, load, orders, grant)
+		return c.sendLoad(ctx, load, server, orders, grant)
 	})
 	if err == nil {
 		c.countOrder(server)
@@ -299,6 +294,16 @@
 	return err
 }
 
+// sendLoad sends an order, unless the zone has been evacuated since the load was planned.
+func (c *Coordinator) sendLoad(ctx context.Context, load weights.Load, server pool.Server, orders int64, grant lease.Grant) error {
+	if c.Pool.IsEvacuated(server.Zone) {
+		return &pool.EvacuatedError{Server: server.Name, Zone: server.Zone}
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return c.Engines.Load(ctx, server, load, orders, grant)
+}
+
 // orderTimeout limits an order. An engine that is up accepts it immediately.
 const orderTimeout = 500 * time.Millisecond
 
