Check a silent owner again before a takeover, and start moves earlier

The owner before went on to serve readers without reading the log until it saw the record.

Change: the owner is pinged once more after the check of the path to the store. An owner that hears of its successor reads the log for its readers.

Generations start to move when they would end in the last 60% of the time that a batch has.

--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -250,6 +250,8 @@
 	evacuated         map[string]bool // evacuated zones; used by their follower only
 	hostsListed       chan struct{}   // closed once the list of hosts is known
 	hostsListedOnce   sync.Once       // closes hostsListed
+	reports           int             // failures reported since reportsSince; used by the pool's hook only
+	reportsSince      time.Duration   // time by clock
 	done              chan struct{}
 }
 
--- a/internal/rollout/batch/carry.go
+++ b/internal/rollout/batch/carry.go
@@ -100,6 +100,15 @@
 	}
 }
 
+// markReplaced records that another host has taken over the batch of the items, if it is this
+// one. Until this host learns it from the record, it reads the log for each reader, since the
+// new owner may already have shown results of its own.
+func (w *worker) markReplaced(items []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.replaced = w.replaced || slices.ContainsFunc(items, func(id string) bool { return w.itemIDs[id] })
+}
+
 // itemRun is a generation in progress.
 type itemRun struct {
 	cancel context.CancelFunc
@@ -147,6 +156,9 @@
 	}
 	for _, w := range b.activeWorkers() {
 		if w.batch.ID != request.Batch && w.batch.Workspace == request.Workspace && w.batch.Route == request.Route {
+			if request.Batch == "" {
+				w.markReplaced(request.Items)
+			}
 			w.handOverItems(ctx, request.Items)
 		}
 	}
--- a/internal/rollout/batch/lateness.go
+++ b/internal/rollout/batch/lateness.go
@@ -3,9 +3,10 @@
 import "time"
 
 // dueMarginShare is the part of the completion target that is kept free before the due
-// time of a batch: results are still gathered and written after the last event, and a move
-// decided at the due time is too late.
-const dueMarginShare = 0.25
+// time of a batch. Results are still gathered and written after the last event, and the
+// time has to cover the loss of a zone or of the owner: with a quarter of it, the batches
+// that were open when a zone was cut off came late.
+const dueMarginShare = 0.6
 
 // latestEnd returns the end by which a generation of the batch is not late: the due time
 // less a margin. It is zero for a batch without a completion target.
--- a/internal/rollout/batch/takeover.go
+++ b/internal/rollout/batch/takeover.go
@@ -60,7 +60,7 @@
 				continue
 			}
 			b.group.Go(func() { // so that a call to the store that hangs delays no ping
-				attempts.end(id, b.checkPath(ctx, id, k) && b.takeOver(ctx, id, k))
+				attempts.end(id, b.checkPath(ctx, id, k) && !b.answersNow(ctx, watch, k) && b.takeOver(ctx, id, k))
 			})
 		}
 	}
@@ -237,6 +237,16 @@
 	return !record.Ended && record.Epoch == k.Epoch
 }
 
+// answersNow reports whether the owner of a batch answers a ping. The misses may be from a time
+// when this host itself was cut off, which has ended if checkPath has just succeeded.
+func (b *Batches) answersNow(ctx context.Context, watch ownerWatch, k known) bool {
+	if k.Owner == "" || k.Owner == b.Host {
+		return false
+	}
+	status, ok := b.pingAll(ctx, watch, []string{k.Owner})[k.Owner]
+	return ok && status.Healthy && status.Incarnation == k.Incarnation
+}
+
 // takeOver makes this host the owner of a batch and runs the items that are not listed. It
 // returns true if all items are already listed.
 func (b *Batches) takeOver(ctx context.Context, id string, k known) bool {
--- a/internal/rollout/batch/work.go
+++ b/internal/rollout/batch/work.go
@@ -50,6 +50,7 @@
 	writing     bool     // a write is in flight, or its outcome is unknown
 	chunks      int      // number of objects in the log
 	lastCatchUp time.Time
+	replaced    bool               // see markReplaced
 	readError   error              // error of the latest catchUp
 	listed      map[string]bool    // items with a published result
 	deliveredAt time.Time          // see noteDelivery; zero before
@@ -297,8 +298,8 @@
 	return w.listed[id]
 }
 
-// catchUpInterval is how often an owner that took a batch over checks the log for
-// results that the previous owner still writes.
+// catchUpInterval is how often an owner that took a batch over, or whose batch was taken
+// over, checks the log for results that the other owner writes.
 const catchUpInterval = 400 * time.Millisecond
 
 // catchUp reads the new objects in the log of a batch that was taken over. The previous
@@ -330,7 +331,7 @@
 func (w *worker) catchUpDue() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	due := w.epoch > 1 && time.Since(w.lastCatchUp) >= catchUpInterval
+	due := (w.epoch > 1 || w.replaced) && time.Since(w.lastCatchUp) >= catchUpInterval
 	if due {
 		w.lastCatchUp = time.Now()
 	}
