--- a/internal/backend/pool/evacuation.go
+++ b/internal/backend/pool/evacuation.go
@@ -62,8 +62,10 @@
 			p.evacuations.ended[zone] = p.now()
 		}
 	}
+	if p.evacuations.pending || len(began)+len(ended) > 0 { // watches confirm the same zones every second
+		p.notify()
+	}
 	p.evacuations.zones, p.evacuations.pending = next, false
-	p.notify()
 	return began, ended
 }
 
