--- a/internal/rollout/batch/standby.go
+++ b/internal/rollout/batch/standby.go
@@ -31,6 +31,9 @@
 	// maxStandbys is the number of hosts that are tried as the standby of a batch. A new
 	// owner asks all of them.
 	maxStandbys = 3
+	// standbyRetryPause is the pause after all of them have failed. The owner's zone is cut
+	// off then, which lasts for seconds.
+	standbyRetryPause = time.Second
 	// copyMessageBytes bounds a message: an item that would exceed it waits for the next
 	// one. copyItemBytes bounds the new text of one item; an item with more is not copied,
 	// since a message to another host has to hold it.
@@ -63,6 +66,7 @@
 	// Used only by send.
 	standby  string
 	failed   map[string]bool // hosts that did not answer or refused the copy
+	failedAt time.Time       // of the latest one
 	misses   int             // messages in a row without an answer
 	sequence uint64
 	base     uint64    // sequence of the latest acknowledged message
@@ -181,19 +185,19 @@
 }
 
 // chooseStandby sets the standby to the first host of the succession that has not failed. It
-// returns false if there is no other host.
+// returns false if there is none. Once all have failed, they are tried again after a pause.
 func (c *copySender) chooseStandby() bool {
 	w := c.worker
 	order := succession(w.Peers.Ranked(w.batch.ID), w.Host, w.previous.host)
 	order = order[:min(len(order), maxStandbys)]
 	at := slices.IndexFunc(order, func(host string) bool { return !c.failed[host] })
-	if at < 0 { // all have failed: try them again
+	if len(order) == 0 || at < 0 && time.Since(c.failedAt) < standbyRetryPause {
+		return false
+	}
+	if at < 0 {
 		c.failed = nil
 		at = 0
 	}
-	if len(order) == 0 {
-		return false
-	}
 	if c.standby != order[at] {
 		c.standby, c.misses = order[at], 0
 		c.startOver()
@@ -244,7 +248,7 @@
 	if c.failed == nil {
 		c.failed = map[string]bool{}
 	}
-	c.failed[c.standby] = true
+	c.failed[c.standby], c.failedAt = true, time.Now()
 	c.worker.Log.Emit(event.StandbyReplaced, "batch", c.worker.batch.ID, "host", c.standby, "reason", reason)
 }
 
