--- a/internal/backend/pool/pacing.go
+++ b/internal/backend/pool/pacing.go
@@ -11,6 +11,11 @@
 func (p *Pool) PaceService(service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.paceService(service)
+}
+
+// paceService is PaceService for callers that hold the lock.
+func (p *Pool) paceService(service string) {
 	if p.paced == nil {
 		p.paced = map[string]bool{}
 	}
--- a/internal/backend/pool/worktime.go
+++ b/internal/backend/pool/worktime.go
@@ -60,6 +60,7 @@
 	}
 	if p.normalIntervals[e.Service] == nil {
 		p.normalIntervals[e.Service] = &worktime.Normal{}
+		p.paceService(e.Service)
 	}
 	e.workTime.AddFigure(now, percent)
 }
