Bound what callers take of a host's memory, descriptors and requests

Package internal/entry/intake divides memory among the bodies that arrive. While it is short, claims wait, connections that deliver too little are refused first, then the largest requests, and one request at a time has a reserve for a body of the largest size. Bodies are read in segments that are charged as they arrive. Answers are written within a time for each piece, and connections that read nothing are closed when answers take too much memory. Callers' connections have small kernel buffers and a maximum number, beyond which the one that has been idle for the longest time is closed. The head size, head time and idle time of the configuration apply. Requests that were sent before the response to the previous one go on two at a time. The batches that a host runs and decodes, messages of other hosts and their connections are bounded as well.

--- /dev/null
+++ b/internal/entry/intake/connections.go
@@ -0,0 +1,192 @@
+package intake
+
+import (
+	"sync"
+	"time"
+)
+
+// ConnectionLimits are those of Connections.
+type ConnectionLimits struct {
+	Max         int           // number of connections, zero for no limit
+	HeadBytes   int           // of one request's head, zero for no limit
+	HeadTimeout time.Duration // from the first byte of a head, or the connection's start, to its end
+	IdleTimeout time.Duration // between two requests
+}
+
+// headSlack is read beyond a head that is within its limit: the server reads ahead.
+const headSlack = 4 << 10
+
+// The reasons for closing a connection.
+const (
+	ReasonConnections = "too many connections"
+	ReasonHeadTime    = "no complete head in time"
+	ReasonIdle        = "idle for too long"
+	ReasonHeadSize    = "head is too large"
+)
+
+// Connections decides which connections of callers are closed. The zero value has no limits.
+// It is safe for concurrent use.
+type Connections struct {
+	mu     sync.Mutex
+	limits ConnectionLimits
+	all    map[*Connection]bool
+}
+
+// Connection is what Connections knows of one connection.
+type Connection struct {
+	Close func() // closes it
+
+	connections *Connections
+
+	mu        sync.Mutex
+	busy      bool // a request is under way
+	first     bool // no request has been under way yet
+	idleSince time.Time
+	headSince time.Time // arrival of the first byte of the current head, zero before
+	headBytes int       // that have arrived since idleSince
+	pipelined int       // number of requests for which the connection still counts as pipelining
+}
+
+// SetLimits changes the limits.
+func (c *Connections) SetLimits(limits ConnectionLimits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits = limits
+}
+
+// Add adds a new connection. If there are more than Max then, it returns the one to close: that
+// which has been idle for the longest time, or the new one if none is idle.
+func (c *Connections) Add(now time.Time, closeIt func()) (added, closed *Connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.all == nil {
+		c.all = map[*Connection]bool{}
+	}
+	added = &Connection{Close: closeIt, connections: c, first: true, idleSince: now, headSince: now}
+	c.all[added] = true
+	if c.limits.Max <= 0 || len(c.all) <= c.limits.Max {
+		return added, nil
+	}
+	closed = added
+	longest := now
+	for other := range c.all {
+		if since, idle := other.idle(); idle && since.Before(longest) {
+			closed, longest = other, since
+		}
+	}
+	delete(c.all, closed)
+	return added, closed
+}
+
+// Remove forgets a connection that is closed.
+func (c *Connection) Remove() {
+	c.connections.mu.Lock()
+	defer c.connections.mu.Unlock()
+	delete(c.connections.all, c)
+}
+
+// Count returns the number of connections.
+func (c *Connections) Count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.all)
+}
+
+// Expired returns the connections whose head or idle time is over, by the reason.
+func (c *Connections) Expired(now time.Time) map[*Connection]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	expired := map[*Connection]string{}
+	for other := range c.all {
+		if reason := other.expired(now, c.limits); reason != "" {
+			expired[other] = reason
+		}
+	}
+	return expired
+}
+
+// expired returns the reason for closing the connection, or "".
+func (c *Connection) expired(now time.Time, limits ConnectionLimits) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.busy:
+		return ""
+	case !c.headSince.IsZero():
+		if limits.HeadTimeout > 0 && now.Sub(c.headSince) > limits.HeadTimeout {
+			return ReasonHeadTime
+		}
+	case limits.IdleTimeout > 0 && now.Sub(c.idleSince) > limits.IdleTimeout:
+		return ReasonIdle
+	}
+	return ""
+}
+
+// idle returns since when no request has been under way, or false if one is.
+func (c *Connection) idle() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleSince, !c.busy
+}
+
+// Receive records that n bytes have arrived. It returns false if the head is too large.
+func (c *Connection) Receive(now time.Time, n int) bool {
+	bytes := c.addHeadBytes(now, n)
+	if bytes <= headSlack {
+		return true
+	}
+	limit := c.connections.headLimit()
+	return limit <= 0 || bytes <= limit+headSlack
+}
+
+// addHeadBytes counts n bytes of a head and returns their sum, 0 while a request is under way.
+func (c *Connection) addHeadBytes(now time.Time, n int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy {
+		return 0
+	}
+	if c.headSince.IsZero() {
+		c.headSince = now
+	}
+	c.headBytes += n
+	return c.headBytes
+}
+
+// headLimit returns ConnectionLimits.HeadBytes.
+func (c *Connections) headLimit() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limits.HeadBytes
+}
+
+const (
+	// minHeadBytes is less than any head has. A request of which fewer bytes arrived after
+	// the response to the previous one was sent before that response.
+	minHeadBytes = 16
+	// pipelinedRequests is for how many requests a connection counts as pipelining after one
+	// that was sent early: only those are noticed that fit into the buffer with the previous one.
+	pipelinedRequests = 64
+)
+
+// Begin records that a request is under way. It reports whether the caller sends requests
+// without waiting for the responses.
+func (c *Connection) Begin() (pipelining bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.first && c.headBytes < minHeadBytes:
+		c.pipelined = pipelinedRequests
+	case c.pipelined > 0:
+		c.pipelined--
+	}
+	c.busy, c.first = true, false
+	return c.pipelined > 0
+}
+
+// End records that the response to a request has been written.
+func (c *Connection) End(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy, c.idleSince, c.headSince, c.headBytes = false, now, time.Time{}, 0
+}
--- /dev/null
+++ b/internal/entry/intake/intake_test.go
@@ -0,0 +1,283 @@
+package intake_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopwall/hyssopwall/internal/entry/intake"
+	"github.com/hyssopwall/hyssopwall/internal/standin/cases"
+)
+
+func TestIntake(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Intake Suite")
+}
+
+// script is a sequence of steps on a budget. Sizes are in KiB, times in milliseconds.
+type script struct {
+	Pattern string
+	Shared  int64
+	Steps   []step
+}
+
+// step is one step: the claim Claim is opened, grows by Grow, delivers Deliver, is complete, or
+// is closed. Force is a growth that evicts others at once. Evicted, in order, are the claims
+// that a tick or Force evicts. Granted says whether the growth is granted at once.
+type step struct {
+	At       int64
+	Claim    string
+	Key      string
+	Open     int64 // what the claim will deliver
+	Grow     int64
+	Granted  bool
+	Force    int64
+	Deliver  int64
+	Complete bool
+	Close    bool
+	Tick     bool
+	Evicted  []string
+	Used     *int64 // expected after the step
+}
+
+// limits are those of scripts, with the given sizes in KiB.
+func limits(shared int64) intake.Limits {
+	return intake.Limits{Shared: shared << 10, MinRate: 8 << 10, Window: time.Second, Patience: 500 * time.Millisecond, MaxWait: 5 * time.Second}
+}
+
+// play plays a script and checks each step.
+func (s script) play() {
+	budget, names, claims := &intake.Budget{}, map[*intake.Claim]string{}, map[string]*intake.Claim{}
+	budget.SetLimits(limits(s.Shared))
+	start := time.Unix(1000, 0)
+	for i, step := range s.Steps {
+		now := start.Add(time.Duration(step.At) * time.Millisecond)
+		note := fmt.Sprintf("step %d at %d ms", i+1, step.At)
+		if step.Open > 0 {
+			c := budget.Open(now, intake.Caller{Key: step.Key, Address: "a"}, step.Open<<10, func() {})
+			claims[step.Claim], names[c] = c, step.Claim
+		}
+		var evicted []string
+		collect := func(found []*intake.Claim) {
+			for _, c := range found {
+				evicted = append(evicted, names[c])
+			}
+		}
+		if c := claims[step.Claim]; c != nil {
+			if step.Grow > 0 {
+				Expect(c.Grow(now, step.Grow<<10)).To(Equal(step.Granted), note)
+			}
+			c.Deliver(step.Deliver << 10)
+			if step.Force > 0 {
+				collect(c.Force(now, step.Force<<10))
+			}
+			if step.Complete {
+				Expect(c.Complete()).To(BeTrue(), note)
+			}
+			if step.Close {
+				c.Close(now)
+			}
+		}
+		if step.Tick {
+			collect(budget.Tick(now))
+		}
+		Expect(evicted).To(Equal(step.Evicted), note)
+		if step.Used != nil {
+			Expect(budget.Used()).To(Equal(*step.Used<<10), note)
+		}
+	}
+}
+
+var _ = Describe("a budget", func() {
+	all, err := cases.Load[script]("testdata/*.hujson")
+	if err != nil {
+		panic(err)
+	}
+	for _, c := range all {
+		It(c.Name+": "+c.Data.Pattern, c.Data.play)
+	}
+
+	// Guards against bytes that stay charged, and against more than the shared part and one
+	// reserve, whatever callers do.
+	It("keeps its bounds and ends empty over random sequences", func() {
+		for seed := range uint64(50) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			budget, now := &intake.Budget{}, time.Unix(1000, 0)
+			budget.SetLimits(limits(1024))
+			const largest = 512 << 10
+			open, charged := []*intake.Claim{}, map[*intake.Claim]int64{}
+			for range 2000 {
+				now = now.Add(time.Duration(random.IntN(60)) * time.Millisecond)
+				switch at := random.IntN(len(open) + 1); {
+				case at == len(open) && len(open) < 40:
+					open = append(open, budget.Open(now, intake.Caller{Key: fmt.Sprint(random.IntN(3))}, largest, func() {}))
+				case at == len(open) || random.IntN(8) == 0:
+					at = min(at, len(open)-1)
+					open[at].Close(now)
+					delete(charged, open[at])
+					open = slices.Delete(open, at, at+1)
+				case charged[open[at]] < largest:
+					open[at].Deliver(64 << 10)
+					open[at].Grow(now, 64<<10)
+					charged[open[at]] += 64 << 10
+				}
+				for _, c := range budget.Tick(now) {
+					c.Close(now)
+					delete(charged, c)
+					open = slices.DeleteFunc(open, func(other *intake.Claim) bool { return other == c })
+				}
+				Expect(budget.Used()).To(BeNumerically("<=", 1024<<10+largest+64<<10), "seed %d", seed)
+			}
+			for _, c := range open {
+				c.Close(now)
+				c.Close(now) // has no effect
+			}
+			Expect(budget.Used()).To(BeZero(), "seed %d", seed)
+		}
+	})
+})
+
+// chunked hides the length of a reader, and gives it in small pieces.
+type chunked struct{ io.Reader }
+
+func (c chunked) Read(into []byte) (int, error) { return c.Reader.Read(into[:min(len(into), 1000)]) }
+
+var _ = Describe("reading a body", func() {
+	read := func(body []byte, length, limit int64, shared int64) ([]byte, *intake.Budget, error) {
+		budget := &intake.Budget{}
+		budget.SetLimits(limits(shared))
+		data, err := intake.ReadBody(context.Background(), chunked{bytes.NewReader(body)}, length, limit, func(need int64) *intake.Claim {
+			return budget.Open(time.Now(), intake.Caller{}, need, func() {})
+		})
+		return data, budget, err
+	}
+
+	It("returns bodies of all sizes, with and without a length", func() {
+		for _, size := range []int{0, 1, intake.FreeBytes - 1, intake.FreeBytes, intake.FreeBytes + 1, intake.FreeBytes + intake.SegmentBytes, 1 << 20} {
+			body := bytes.Repeat([]byte("abc"), size/3+1)[:size]
+			for _, length := range []int64{int64(size), -1} {
+				data, budget, err := read(body, length, 1<<20, 4096)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(bytes.Equal(data, body)).To(BeTrue(), "size %d", size)
+				if size < intake.FreeBytes {
+					Expect(budget.Used()).To(BeZero(), "small bodies are not charged")
+				}
+			}
+		}
+	})
+
+	It("refuses a body above the limit, and a short one", func() {
+		var tooLarge *intake.TooLargeError
+		_, _, err := read(make([]byte, 1<<20), -1, 100_000, 4096)
+		Expect(errors.As(err, &tooLarge)).To(BeTrue())
+		_, _, err = read(nil, 100_001, 100_000, 4096)
+		Expect(errors.As(err, &tooLarge)).To(BeTrue())
+		_, _, err = read([]byte("x"), 2, 100, 4096)
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		_, _, err = read(make([]byte, 50_000), 60_000, 100_000, 4096)
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	})
+
+	It("lets the largest body use the reserve", func() {
+		data, _, err := read(make([]byte, 1<<20), -1, 1<<20, 64)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(data).To(HaveLen(1 << 20))
+	})
+})
+
+var _ = Describe("connections", func() {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	var connections *intake.Connections
+	BeforeEach(func() {
+		connections = &intake.Connections{}
+		connections.SetLimits(intake.ConnectionLimits{Max: 3, HeadBytes: 16 << 10, HeadTimeout: time.Second, IdleTimeout: 5 * time.Second})
+	})
+
+	It("are closed when idle the longest, never one with a request under way", func() {
+		busy, _ := connections.Add(at(0), nil)
+		busy.Begin()
+		idle, _ := connections.Add(at(10), nil)
+		_, _ = connections.Add(at(20), nil)
+		_, closed := connections.Add(at(30), nil)
+		Expect(closed).To(BeIdenticalTo(idle))
+		Expect(connections.Count()).To(Equal(3))
+	})
+
+	It("are refused when all have requests under way", func() {
+		for range 3 {
+			c, _ := connections.Add(at(0), nil)
+			c.Begin()
+		}
+		added, closed := connections.Add(at(1), nil)
+		Expect(closed).To(BeIdenticalTo(added))
+	})
+
+	It("expire by their head and idle times", func() {
+		c, _ := connections.Add(at(0), nil)
+		Expect(connections.Expired(at(900))).To(BeEmpty())
+		Expect(connections.Expired(at(1100))).To(HaveKeyWithValue(c, intake.ReasonHeadTime))
+		c.Begin()
+		Expect(connections.Expired(at(60_000))).To(BeEmpty())
+		c.End(at(60_000))
+		Expect(connections.Expired(at(64_000))).To(BeEmpty())
+		Expect(connections.Expired(at(65_100))).To(HaveKeyWithValue(c, intake.ReasonIdle))
+		c.Receive(at(64_000), 10)
+		Expect(connections.Expired(at(65_100))).To(HaveKeyWithValue(c, intake.ReasonHeadTime))
+	})
+
+	It("end when a head is too large, but not by a body", func() {
+		c, _ := connections.Add(at(0), nil)
+		Expect(c.Receive(at(1), 16<<10)).To(BeTrue())
+		Expect(c.Receive(at(1), 8<<10)).To(BeFalse())
+		c.Begin()
+		Expect(c.Receive(at(1), 1<<20)).To(BeTrue())
+	})
+
+	It("count as pipelining only when a head was sent before the response", func() {
+		c, _ := connections.Add(at(0), nil)
+		c.Receive(at(0), 200)
+		Expect(c.Begin()).To(BeFalse())
+		c.End(at(1))
+		c.Receive(at(2), 200)
+		Expect(c.Begin()).To(BeFalse())
+		c.End(at(3))
+		Expect(c.Begin()).To(BeTrue())
+	})
+})
+
+var _ = Describe("turns", func() {
+	It("go to the caller with the fewest requests under way, and are refused after a wait", func(ctx SpecContext) {
+		turns := &intake.Turns{}
+		turns.SetMax(2)
+		greedy, modest := intake.Caller{Key: "g", Address: "1"}, intake.Caller{Key: "m", Address: "2"}
+		Expect(turns.Enter(ctx, greedy)).To(Succeed())
+		Expect(turns.Enter(ctx, greedy)).To(Succeed())
+		order := make(chan string, 2)
+		enter := func(name string, caller intake.Caller) {
+			go func() {
+				if turns.Enter(ctx, caller) == nil {
+					order <- name
+				}
+			}()
+			time.Sleep(20 * time.Millisecond) // until it waits
+		}
+		enter("greedy", greedy)
+		enter("modest", modest)
+		turns.Leave(greedy)
+		Eventually(order).Should(Receive(Equal("modest")))
+		var refused *intake.RefusedError
+		Expect(errors.As(turns.Enter(ctx, modest), &refused)).To(BeTrue())
+		Expect(strings.Contains(refused.Error(), intake.ReasonRequests)).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/internal/entry/intake/read.go
@@ -0,0 +1,179 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+)
+
+// Sizes of the parts in which a body is read, in bytes.
+const (
+	// FreeBytes of each body are not charged, so that small requests never wait for or are
+	// refused because of large ones. The number of connections bounds their sum.
+	FreeBytes = 16 << 10
+	// SegmentBytes is charged before each further part of that size is read.
+	SegmentBytes = 64 << 10
+)
+
+// RefusedError says that a request was refused before it was complete, so that it has not
+// run. RetryAfter is the time after which the caller should come back.
+type RefusedError struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+func (e *RefusedError) Error() string { return "refused: " + e.Reason }
+
+// retryAfter is the RefusedError.RetryAfter. Memory is free again after about a window.
+const retryAfter = time.Second
+
+// Acquire charges n bytes, and waits for them if necessary. The error is a *RefusedError or
+// that of the context.
+func (c *Claim) Acquire(ctx context.Context, n int64) error {
+	if c.Grow(time.Now(), n) {
+		return nil
+	}
+	ticker := time.NewTicker(TickInterval)
+	defer ticker.Stop()
+	for {
+		wake, reason := c.wait()
+		if reason != "" {
+			return &RefusedError{Reason: reason, RetryAfter: retryAfter}
+		}
+		if wake == nil {
+			return nil
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			for _, evicted := range c.budget.Tick(time.Now()) {
+				evicted.Evict()
+			}
+		}
+	}
+}
+
+// wait returns the channel that is closed at the end of the claim's wait, or nil if it doesn't
+// wait, and the reason for which it was evicted.
+func (c *Claim) wait() (wake <-chan struct{}, reason string) {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	if c.wants == 0 {
+		return nil, c.reason
+	}
+	return c.wake, c.reason
+}
+
+// refusal returns a *RefusedError if the claim was evicted, else nil.
+func (c *Claim) refusal() error {
+	if _, reason := c.wait(); reason != "" {
+		return &RefusedError{Reason: reason, RetryAfter: retryAfter}
+	}
+	return nil
+}
+
+// TooLargeError says that a body is larger than allowed.
+type TooLargeError struct {
+	Limit int64
+}
+
+func (e *TooLargeError) Error() string { return "body is too large" }
+
+// ReadBody reads a body of at most limit bytes and of the given length, which is negative if
+// unknown. Only what has arrived takes memory. open returns the claim of the request; it is
+// called when the body exceeds FreeBytes. The error is a *RefusedError, a *TooLargeError or
+// an error of the body.
+func ReadBody(ctx context.Context, body io.Reader, length, limit int64, open func(need int64) *Claim) ([]byte, error) {
+	if length > limit {
+		return nil, &TooLargeError{Limit: limit}
+	}
+	if 0 <= length && length <= FreeBytes {
+		data := make([]byte, length)
+		_, err := io.ReadFull(body, data)
+		return data, err
+	}
+	first, err := fill(body, FreeBytes, nil)
+	if err != nil {
+		return nil, err
+	}
+	if len(first) < FreeBytes {
+		return first, checkLength(int64(len(first)), length)
+	}
+	need := limit
+	if length >= 0 {
+		need = length
+	}
+	return readCharged(ctx, body, first, length, limit, open(need))
+}
+
+// readCharged reads the rest of a body in segments that are charged to a claim.
+func readCharged(ctx context.Context, body io.Reader, first []byte, length, limit int64, claim *Claim) ([]byte, error) {
+	segments, total := [][]byte{first}, int64(len(first))
+	for {
+		if err := claim.Acquire(ctx, SegmentBytes); err != nil {
+			return nil, err
+		}
+		segment, err := fill(body, SegmentBytes, claim)
+		if err != nil {
+			if refused := claim.refusal(); refused != nil {
+				return nil, refused
+			}
+			return nil, err
+		}
+		total += int64(len(segment))
+		if total > limit {
+			return nil, &TooLargeError{Limit: limit}
+		}
+		segments = append(segments, segment)
+		if len(segment) < SegmentBytes || total == length {
+			if err := checkLength(total, length); err != nil {
+				return nil, err
+			}
+			if !claim.Complete() {
+				return nil, claim.refusal()
+			}
+			return join(segments, total), nil
+		}
+	}
+}
+
+// checkLength returns io.ErrUnexpectedEOF if a body doesn't have the announced length.
+func checkLength(total, length int64) error {
+	if length >= 0 && total != length {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
+// fill reads up to size bytes, fewer only at the end of the body. A claim, if there is one,
+// learns of each read.
+func fill(body io.Reader, size int, claim *Claim) ([]byte, error) {
+	data := make([]byte, 0, size)
+	for len(data) < size {
+		n, err := body.Read(data[len(data):size])
+		data = data[:len(data)+n]
+		if claim != nil {
+			claim.Deliver(int64(n))
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return data, nil
+}
+
+// join returns the segments as one slice.
+func join(segments [][]byte, total int64) []byte {
+	data := make([]byte, 0, total)
+	for i, segment := range segments {
+		data = append(data, segment...)
+		segments[i] = nil // free for the garbage collector while the others are copied
+	}
+	return data
+}
--- /dev/null
+++ b/internal/host/node/callers.go
@@ -0,0 +1,164 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/hyssopwall/hyssopwall/internal/entry/intake"
+)
+
+// Limits of callers' connections.
+const (
+	// receiveBuffer and sendBuffer are the sizes of the kernel's buffers for a connection of a
+	// caller. Linux grows them to megabytes otherwise. At 2 ms round trip they allow 30 MB/s.
+	receiveBuffer = 64 << 10
+	sendBuffer    = 128 << 10
+	// answerPiece is written at a time, within answerTimeout, so that a caller that reads
+	// nothing holds the rest of its answer no longer than that.
+	answerPiece   = 64 << 10
+	answerTimeout = 5 * time.Second
+	// expiryInterval is the interval at which head and idle times are checked.
+	expiryInterval = 250 * time.Millisecond
+	// maxServerTimeout bounds the head and idle times that a configuration can set.
+	maxServerTimeout = 10 * time.Minute
+)
+
+// callerListener is the listener for callers. It bounds their number of connections.
+type callerListener struct {
+	net.Listener
+	node *Node
+}
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	accepted := &callerConn{Conn: conn, node: l.node}
+	added, closed := l.node.Intake.Connections.Add(time.Now(), func() { _ = conn.Close() })
+	accepted.entry = added
+	if closed != nil {
+		l.node.CountRefusal(intake.ReasonConnections)
+		closed.Close()
+	}
+	return accepted, nil
+}
+
+// callerConn is a connection of a caller.
+type callerConn struct {
+	net.Conn
+	node  *Node
+	entry *intake.Connection
+}
+
+// headTooLarge is the answer to a head that exceeds the limit. The server does not know of the
+// limit, which may change.
+const headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// Read implements net.Conn. It ends the connection when a head is too large.
+func (c *callerConn) Read(into []byte) (int, error) {
+	n, err := c.Conn.Read(into)
+	if n > 0 && !c.entry.Receive(time.Now(), n) {
+		c.node.CountRefusal(intake.ReasonHeadSize)
+		_, _ = c.Write([]byte(headTooLarge))
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Write implements net.Conn. It fails when the caller accepts a piece of the data too slowly.
+func (c *callerConn) Write(data []byte) (int, error) {
+	written := 0
+	for {
+		piece := data[written:min(len(data), written+answerPiece)]
+		if err := c.SetWriteDeadline(time.Now().Add(answerTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(piece)
+		written += n
+		if err != nil || written == len(data) {
+			return written, err
+		}
+	}
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.entry.Remove()
+	return c.Conn.Close()
+}
+
+// CloseWrite shuts down the writing side: the server does so before it closes a connection
+// whose caller may still be sending.
+func (c *callerConn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// connKey is the key of the callerConn in the context of a request.
+type connKey struct{}
+
+// callerServer returns the HTTP server for callers. Its own timeouts are above those that a
+// configuration may set, which expireConnections enforces.
+func (n *Node) callerServer(entry http.Handler) *http.Server {
+	return &http.Server{
+		Handler: n.bounded(entry), ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
+				c.entry.End(time.Now())
+			}
+		},
+	}
+}
+
+// bounded returns a handler that tells Connections of each request, and lets few of those go
+// on at a time that callers sent without waiting for the responses to earlier ones.
+func (n *Node) bounded(entry http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, ok := r.Context().Value(connKey{}).(*callerConn)
+		if ok && conn.entry.Begin() {
+			if err := n.Intake.pipelined.Enter(r.Context(), intake.Caller{}); err != nil {
+				n.RefuseIntake(w, r, err)
+				return
+			}
+			defer n.Intake.pipelined.Leave(intake.Caller{})
+		}
+		entry.ServeHTTP(w, r)
+	})
+}
+
+// expireConnections closes the connections whose head or idle time is over.
+func (n *Node) expireConnections(ctx context.Context) {
+	runEvery(ctx, expiryInterval, func() {
+		for conn, reason := range n.Intake.Connections.Expired(time.Now()) {
+			if reason == intake.ReasonHeadTime {
+				n.CountRefusal(reason)
+			}
+			conn.Close()
+			conn.Remove()
+		}
+	})
+}
+
+// listenCallers opens the socket for callers. Its connections inherit the size of the buffers.
+func listenCallers(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = cmp.Or(syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer),
+				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer))
+		})
+		return cmp.Or(err, failed)
+	}}
+	return config.Listen(context.Background(), "tcp", address)
+}
--- a/internal/host/node/learn.go
+++ b/internal/host/node/learn.go
@@ -50,6 +50,7 @@
 		return true
 	}
 	n.policy.Store(next)
+	n.applyLimits(next)
 	n.Log.Emit(event.ConfigurationApplied, "version", next.Version, "revision", o.Version,
 		"routes", len(next.Routes), "workspaces", len(next.Workspaces), "withdrawn", len(withdrawn))
 	return true
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -52,6 +52,10 @@
 	// Bootstrap says that the whole site is starting for the first time. The host then
 	// waits for a moment before it reads the list of hosts.
 	Bootstrap bool
+	// MemoryBytes is the memory of the host's machine, and MaxFiles the number of file
+	// descriptors that it may have open. Zero means no limit.
+	MemoryBytes int64
+	MaxFiles    int
 }
 
 // StoreKeys holds the keys and key prefixes of the entries in the platform's store that hosts
@@ -201,6 +205,7 @@
 	Tally     *tally.Tally    // usage counts
 	Directory *peer.Directory // known hosts
 	Meter     *meter.Meter    // metrics
+	Intake    Intake          // what callers may take of this host
 
 	store            object.Store
 	crashes          poison.CrashCounter // crashes of servers, by request
@@ -269,6 +274,7 @@
 		StoreReachable: func() bool { return n.policyAge() < maxReachableAge }, RetryAfter: n.outageRetryAfter,
 		Log: n.Log, Meter: n.Meter,
 	}
+	n.newIntake()
 	n.registerGauges()
 	n.newDutyWorkers()
 	return n
--- a/internal/host/node/run.go
+++ b/internal/host/node/run.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 	"github.com/hyssopwall/hyssopwall/internal/rollout/batch"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
@@ -70,6 +72,7 @@
 		func() { n.watchStaleness(ctx) },
 		func() { n.fetchSuspects(ctx) },
 		func() { runEvery(ctx, silenceCheckInterval, n.checkSilentSends) },
+		func() { n.expireConnections(ctx) },
 	}
 }
 
@@ -105,13 +108,19 @@
 		l   listeners
 		err error
 	)
+	if l.front, err = listenCallers(n.Settings.Listen); err != nil {
+		return l, err
+	}
 	for _, listener := range []struct {
 		to      *net.Listener
 		address string
-	}{{&l.front, n.Settings.Listen}, {&l.ready, n.Settings.Ready}, {&l.internal, n.Settings.Internal}, {&l.metrics, n.Settings.Metrics}} {
+	}{{&l.ready, n.Settings.Ready}, {&l.internal, n.Settings.Internal}, {&l.metrics, n.Settings.Metrics}} {
 		if *listener.to, err = net.Listen("tcp", listener.address); err != nil {
 			return l, err
 		}
 	}
+	if most := n.maxPeerConnections(); most > 0 {
+		l.internal = netutil.LimitListener(l.internal, most)
+	}
 	return l, nil
 }
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -15,8 +15,7 @@
 	"github.com/hyssopwall/hyssopwall/internal/site/policy"
 )
 
-// Timeouts of connections. The limits on connections in the configuration (policy.Limits)
-// do not change them.
+// Timeouts of connections. For callers the configuration (policy.Limits) has others.
 const (
 	callerIdleTimeout = 20 * time.Second // how long a connection of a caller may be idle
 	headerTimeout     = 5 * time.Second  // for reading the header of a request
@@ -26,11 +25,11 @@
 // serve starts the HTTP servers for callers, the readiness check, other hosts and metrics.
 // It returns the one for callers.
 func (n *Node) serve(l listeners, entry http.Handler) *http.Server {
-	front := &http.Server{Handler: entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
+	front := n.callerServer(entry)
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
-	internal := &http.Server{Handler: n.internalHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout}
-	go func() { _ = front.Serve(l.front) }() // ends with Shutdown
-	go func() { _ = ready.Serve(l.ready) }() // this and the following ones end with the process
+	internal := &http.Server{Handler: n.boundedPeers(n.internalHandler(), peer.MaxMessage), ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout}
+	go func() { _ = front.Serve(callerListener{l.front, n}) }() // ends with Shutdown
+	go func() { _ = ready.Serve(l.ready) }()                    // this and the following ones end with the process
 	go func() { _ = internal.Serve(l.internal) }()
 	metrics := &http.Server{Handler: http.HandlerFunc(n.serveMetrics), ReadHeaderTimeout: headerTimeout}
 	go func() { _ = metrics.Serve(l.metrics) }()
--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -87,6 +87,18 @@
 	return sum
 }
 
+// size returns the number of bytes of the bodies of all items, with those of their scorers.
+func (b Batch) size() int64 {
+	sum := int64(0)
+	for _, item := range b.Items {
+		sum += int64(len(item.Body))
+		if item.Scorer != nil {
+			sum += int64(len(item.Scorer.Body))
+		}
+	}
+	return sum
+}
+
 // Check validates a decoded batch. Its error is a *FieldError.
 func (b Batch) Check() error {
 	seen := make(map[string]bool, len(b.Items))
--- a/internal/rollout/batch/batches.go
+++ b/internal/rollout/batch/batches.go
@@ -155,8 +155,11 @@
 	// RetryAfter returns the time after which the caller of a refused batch should return
 	// while the store is away.
 	RetryAfter func() time.Duration
-	Log        event.Log
-	Meter      *meter.Meter // optional
+	// MaxOpenBytes bounds the bodies of the batches that this host runs, zero for no bound. It
+	// accepts no more batches above it. A batch that it takes over is run in any case.
+	MaxOpenBytes int64
+	Log          event.Log
+	Meter        *meter.Meter // optional
 
 	mu          sync.Mutex
 	ctx         context.Context     // of Run; nil before it is called
@@ -169,6 +172,7 @@
 	partials    map[string]Partial  // by item, of generations that have stopped here
 	assigner    assigner
 	draining    bool
+	openBytes   int64          // size of the batches in active
 	group       sync.WaitGroup // workers, notifications and retries of ends
 }
 
--- a/internal/rollout/batch/commands.go
+++ b/internal/rollout/batch/commands.go
@@ -25,6 +25,9 @@
 	if !b.AcceptsBatches() {
 		return &UnavailableError{Err: errNotAccepting, RetryAfter: retryAfterDraining}
 	}
+	if !b.hasRoomFor(batch.size()) {
+		return &UnavailableError{Err: errNoRoom, RetryAfter: retryAfterNoRoom}
+	}
 	body, err := encodeBody(batch)
 	if err != nil {
 		return &UnavailableError{Err: err, RetryAfter: b.RetryAfter()}
@@ -35,7 +38,7 @@
 	owner, incarnation := b.chooseOwner(ctx, batch)
 	record := Record{
 		Workspace: batch.Workspace, Route: batch.Route, Model: batch.Model, MinVersion: batch.MinVersion, Step: batch.Step,
-		Tokens: batch.Tokens(), Total: len(batch.Items), Parts: len(body.parts), Body: body.digest,
+		Tokens: batch.Tokens(), Total: len(batch.Items), Parts: body.parts, Body: body.digest,
 		Submitted: time.Now().UnixMilli(), Owner: owner, Incarnation: incarnation, Epoch: 1,
 	}
 	return b.create(ctx, batch, record)
@@ -44,11 +47,33 @@
 // errNotAccepting is the cause of errors while the host starts or drains.
 var errNotAccepting = errors.New("this host accepts no batches now: it is starting or draining")
 
+// errNoRoom is the cause of errors while the batches that the host runs take too much memory.
+var errNoRoom = errors.New("the batches that this host runs take too much memory")
+
+// retryAfterNoRoom is the UnavailableError.RetryAfter for errNoRoom. Other hosts may have
+// room, and batches of this one end every few seconds.
+const retryAfterNoRoom = 500 * time.Millisecond
+
+// hasRoomFor reports whether a batch of the given size fits into MaxOpenBytes beside those that
+// this host runs. One of any size fits alone.
+func (b *Batches) hasRoomFor(size int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.MaxOpenBytes <= 0 || b.openBytes == 0 || b.openBytes+size <= b.MaxOpenBytes
+}
+
+// OpenBytes returns the size of the bodies of all batches that this host runs.
+func (b *Batches) OpenBytes() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.openBytes
+}
+
 // AcceptsBatches reports whether the host accepts batches now.
 func (b *Batches) AcceptsBatches() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.ctx != nil && !b.draining
+	return b.ctx != nil && !b.draining && (b.MaxOpenBytes <= 0 || b.openBytes < b.MaxOpenBytes)
 }
 
 // create creates the record of a batch. A write without an answer may take effect seconds
@@ -122,10 +147,16 @@
 	w.cancel = cancel
 	b.workers[batch.ID] = w
 	b.active[w] = true
+	size := batch.size()
+	b.openBytes += size
 	b.group.Go(func() {
 		w.run(ctx)
+		if w.remaining() == 0 {
+			w.releaseBodies()
+		}
 		b.mu.Lock()
 		defer b.mu.Unlock()
+		b.openBytes -= size
 		delete(b.active, w)
 	})
 	b.Log.Emit(event.BatchStarted, "batch", batch.ID, "route", batch.Route, "workspace", batch.Workspace,
--- a/internal/rollout/batch/objects.go
+++ b/internal/rollout/batch/objects.go
@@ -56,33 +56,6 @@
 	return l.store.Put(ctx, key, value, expect)
 }
 
-// encodedBody is a batch as it is stored. Each part is a JSON string with base64 data that
-// fits into one object of the store.
-type encodedBody struct {
-	digest string // of the encoding before it was split, see digestOf
-	parts  [][]byte
-}
-
-// encodeBody encodes a batch. Two attempts to submit the same batch may give different
-// encodings: the configuration or the program may have changed between them.
-func encodeBody(batch Batch) (encodedBody, error) {
-	raw, err := encode(batch)
-	if err != nil {
-		return encodedBody{}, err
-	}
-	body := encodedBody{digest: digestOf(raw)}
-	for len(raw) > 0 {
-		n := min(len(raw), maxPartBytes)
-		part, err := encode(raw[:n])
-		if err != nil {
-			return encodedBody{}, err
-		}
-		body.parts = append(body.parts, part)
-		raw = raw[n:]
-	}
-	return body, nil
-}
-
 // digestOf returns the digest that names an encoded body: half of its SHA-256, in
 // hexadecimal.
 func digestOf(raw []byte) string {
@@ -90,17 +63,6 @@
 	return hex.EncodeToString(sum[:sha256.Size/2])
 }
 
-// writeBody writes the parts of a body. Their keys contain the digest, so that an existing
-// part was written by an earlier attempt with the same encoding.
-func (l storage) writeBody(ctx context.Context, id string, body encodedBody) error {
-	for i, part := range body.parts {
-		if err := l.create(ctx, bodyKey(id, body.digest, i), part); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // create creates an object unless it already exists. It retries while the outcome of the
 // write is unknown.
 func (l storage) create(ctx context.Context, key string, value []byte) error {
--- a/internal/rollout/batch/work.go
+++ b/internal/rollout/batch/work.go
@@ -57,6 +57,7 @@
 }
 
 func newWorker(b *Batches, batch Batch, record Record, log []Result, chunks int) *worker {
+	batch.Items = slices.Clone(batch.Items) // releaseBodies changes them
 	w := &worker{
 		Batches: b, batch: batch, epoch: record.Epoch, submitted: record.Submitted, previousOwner: record.PreviousOwner, published: log, chunks: chunks,
 		expires:    expiry(batch, record, time.Now()),
@@ -368,6 +369,14 @@
 	return newPage(w.published, len(w.batch.Items), after)
 }
 
+// releaseBodies frees the bodies of the items of a batch whose results are all listed. None of
+// them is read again.
+func (w *worker) releaseBodies() {
+	for i := range w.batch.Items {
+		w.batch.Items[i].Body, w.batch.Items[i].Scorer = nil, nil
+	}
+}
+
 // body returns the body of an item without a listed result.
 func (w *worker) body(item string) ([]byte, bool) {
 	at := slices.IndexFunc(w.batch.Items, func(i Item) bool { return i.ID == item })
--- a/internal/site/event/site.go
+++ b/internal/site/event/site.go
@@ -22,6 +22,7 @@
 	ServerLeaving
 	RequestsCut
 	ServerSilent
+	IntakeRefusing
 )
 
 func siteEvents() []Entry {
@@ -44,5 +45,6 @@
 		{ServerLeaving, Info, "backend server leaving", "It announced this in a response; this host sends it no new requests until it restarts.", "Nothing."},
 		{RequestsCut, Warning, "requests cut by the end of the host", "Their responses could not be written before the process had to exit.", "Allow a longer planned stop if this repeats."},
 		{ServerSilent, Info, "backend server silent", "A request that this host gave up was at a server that answers no health check either, or has restarted.", "Check the named server if this repeats."},
+		{IntakeRefusing, Warning, "callers refused to protect the host", "Requests or connections exceed what the host can hold; logged once until nothing was refused for ten seconds.", "Find the callers who send large or unfinished requests; hyssopwall_intake_refused_total has the reasons."},
 	}
 }
--- a/internal/site/policy/policy.go
+++ b/internal/site/policy/policy.go
@@ -92,9 +92,8 @@
 	Priority   *int     // overrides the route's priority
 }
 
-// Limits bound the size of requests and the time to send a header or stay idle. Only
-// MaxBodyBytes is applied; if it is zero, the host's default stays. The others are decoded,
-// but not applied.
+// Limits bound the size of requests and the time to send a header or stay idle. For one that
+// is zero or less, the host's default applies.
 type Limits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
