Keep stalled bodies from taking all connections and turns of a host

A request takes its turn after its body has arrived, and a connection whose body doesn't go on counts as idle when there are too many. Before, some 290 small bodies that stop short would have refused everyone else. The connections of other hosts are bounded in the same way, instead of by not accepting them. Without a memory limit in the settings there is no limit for pipelined requests and no time for answers.

--- a/internal/entry/intake/budget.go
+++ b/internal/entry/intake/budget.go
@@ -17,8 +17,9 @@
 
 // Limits are those of a Budget. Sizes are in bytes.
 type Limits struct {
-	Shared  int64 // of all claims but the one that holds the reserve
-	Reserve int64 // of the claim that holds the reserve: what the largest request needs
+	// Shared bounds all claims but the one that holds the reserve. That one grows to the size of
+	// its request.
+	Shared int64
 	// MinRate is the number of bytes per second that a claim must deliver while others wait,
 	// on average over Window.
 	MinRate int64
--- a/internal/entry/intake/connections.go
+++ b/internal/entry/intake/connections.go
@@ -40,8 +40,10 @@
 
 	mu        sync.Mutex
 	busy      bool // a request is under way
+	arrived   bool // it has arrived as a whole
 	first     bool // no request has been under way yet
 	idleSince time.Time
+	received  time.Time // when the latest bytes arrived
 	headSince time.Time // arrival of the first byte of the current head, zero before
 	headBytes int       // that have arrived since idleSince
 	pipelined int       // number of requests for which the connection still counts as pipelining
@@ -55,14 +57,15 @@
 }
 
 // Add adds a new connection. If there are more than Max then, it returns the one to close: that
-// which has been idle for the longest time, or the new one if none is idle.
+// on which nothing has arrived for the longest time, unless a complete request is under way
+// there, or the new one if there is none.
 func (c *Connections) Add(now time.Time, closeIt func()) (added, closed *Connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.all == nil {
 		c.all = map[*Connection]bool{}
 	}
-	added = &Connection{Close: closeIt, connections: c, first: true, idleSince: now, headSince: now}
+	added = &Connection{Close: closeIt, connections: c, first: true, idleSince: now, received: now, headSince: now}
 	c.all[added] = true
 	if c.limits.Max <= 0 || len(c.all) <= c.limits.Max {
 		return added, nil
@@ -122,11 +125,29 @@
 	return ""
 }
 
-// idle returns since when no request has been under way, or false if one is.
+// idle returns since when nothing has arrived, or false if a complete request is under way.
 func (c *Connection) idle() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idleSince, !c.busy
+	if c.busy {
+		return c.received, !c.arrived
+	}
+	return later(c.idleSince, c.received), true
+}
+
+// later returns the later one of two times.
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
+
+// Arrive records that the request under way has arrived as a whole.
+func (c *Connection) Arrive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrived = true
 }
 
 // Receive records that n bytes have arrived. It returns false if the head is too large.
@@ -143,6 +164,7 @@
 func (c *Connection) addHeadBytes(now time.Time, n int) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.received = now
 	if c.busy {
 		return 0
 	}
@@ -180,7 +202,7 @@
 	case c.pipelined > 0:
 		c.pipelined--
 	}
-	c.busy, c.first = true, false
+	c.busy, c.arrived, c.first = true, false, false
 	return c.pipelined > 0
 }
 
--- a/internal/entry/intake/intake_test.go
+++ b/internal/entry/intake/intake_test.go
@@ -207,6 +207,7 @@
 	It("are closed when idle the longest, never one with a request under way", func() {
 		busy, _ := connections.Add(at(0), nil)
 		busy.Begin()
+		busy.Arrive()
 		idle, _ := connections.Add(at(10), nil)
 		_, _ = connections.Add(at(20), nil)
 		_, closed := connections.Add(at(30), nil)
@@ -218,11 +219,25 @@
 		for range 3 {
 			c, _ := connections.Add(at(0), nil)
 			c.Begin()
+			c.Arrive()
 		}
 		added, closed := connections.Add(at(1), nil)
 		Expect(closed).To(BeIdenticalTo(added))
 	})
 
+	// Guards against callers who take all connections with bodies that never end.
+	It("are closed while a body doesn't go on", func() {
+		stalled, _ := connections.Add(at(0), nil)
+		stalled.Begin()
+		stalled.Receive(at(10), 100)
+		sending, _ := connections.Add(at(0), nil)
+		sending.Begin()
+		sending.Receive(at(20), 100)
+		_, _ = connections.Add(at(15), nil)
+		_, closed := connections.Add(at(30), nil)
+		Expect(closed).To(BeIdenticalTo(stalled))
+	})
+
 	It("expire by their head and idle times", func() {
 		c, _ := connections.Add(at(0), nil)
 		Expect(connections.Expired(at(900))).To(BeEmpty())
--- a/internal/host/node/callers.go
+++ b/internal/host/node/callers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"syscall"
@@ -27,10 +28,12 @@
 	maxServerTimeout = 10 * time.Minute
 )
 
-// callerListener is the listener for callers. It bounds their number of connections.
+// callerListener is the listener for callers, or for other hosts. It bounds the number of
+// connections.
 type callerListener struct {
 	net.Listener
-	node *Node
+	node        *Node
+	connections *intake.Connections
 }
 
 // Accept implements net.Listener.
@@ -40,7 +43,7 @@
 		return nil, err
 	}
 	accepted := &callerConn{Conn: conn, node: l.node}
-	added, closed := l.node.Intake.Connections.Add(time.Now(), func() { _ = conn.Close() })
+	added, closed := l.connections.Add(time.Now(), func() { _ = conn.Close() })
 	accepted.entry = added
 	if closed != nil {
 		l.node.CountRefusal(intake.ReasonConnections)
@@ -49,7 +52,7 @@
 	return accepted, nil
 }
 
-// callerConn is a connection of a caller.
+// callerConn is a connection of a caller or of another host.
 type callerConn struct {
 	net.Conn
 	node  *Node
@@ -66,13 +69,20 @@
 	if n > 0 && !c.entry.Receive(time.Now(), n) {
 		c.node.CountRefusal(intake.ReasonHeadSize)
 		_, _ = c.Write([]byte(headTooLarge))
-		return 0, net.ErrClosed
+		_ = c.CloseWrite()
+		_ = c.SetReadDeadline(time.Now().Add(lingerTime)) // see RefuseIntake
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+		return 0, io.EOF
 	}
 	return n, err
 }
 
-// Write implements net.Conn. It fails when the caller accepts a piece of the data too slowly.
+// Write implements net.Conn. It fails when the caller accepts a piece of the data too slowly,
+// unless the host has no memory limit.
 func (c *callerConn) Write(data []byte) (int, error) {
+	if c.node.Settings.MemoryBytes <= 0 {
+		return c.Conn.Write(data)
+	}
 	written := 0
 	for {
 		piece := data[written:min(len(data), written+answerPiece)]
@@ -121,12 +131,33 @@
 	}
 }
 
+// trackPeer tells Connections of the requests of another host. They are small, and their
+// connections are not closed while one is under way.
+func trackPeer(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	switch {
+	case ok && state == http.StateActive:
+		c.entry.Begin()
+		c.entry.Arrive()
+	case ok && state == http.StateIdle:
+		c.entry.End(time.Now())
+	}
+}
+
 // bounded returns a handler that tells Connections of each request, and lets few of those go
 // on at a time that callers sent without waiting for the responses to earlier ones.
 func (n *Node) bounded(entry http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, ok := r.Context().Value(connKey{}).(*callerConn)
-		if ok && conn.entry.Begin() {
+		if !ok {
+			entry.ServeHTTP(w, r)
+			return
+		}
+		pipelining := conn.entry.Begin()
+		if r.ContentLength == 0 {
+			conn.entry.Arrive()
+		}
+		if pipelining {
 			if err := n.Intake.pipelined.Enter(r.Context(), intake.Caller{}); err != nil {
 				n.RefuseIntake(w, r, err)
 				return
@@ -151,7 +182,11 @@
 }
 
 // listenCallers opens the socket for callers. Its connections inherit the size of the buffers.
-func listenCallers(address string) (net.Listener, error) {
+// Without a memory limit the kernel chooses it.
+func (n *Node) listenCallers(address string) (net.Listener, error) {
+	if n.Settings.MemoryBytes <= 0 {
+		return net.Listen("tcp", address)
+	}
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var failed error
 		err := raw.Control(func(fd uintptr) {
--- a/internal/host/node/callers_test.go
+++ b/internal/host/node/callers_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -31,7 +32,7 @@
 	if limits != nil {
 		n.applyLimits(&policy.Policy{Limits: *limits})
 	}
-	listener, err := listenCallers("127.0.0.1:0")
+	listener, err := n.listenCallers("127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	server := n.callerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, release, err := n.ReadBody(w, r, intake.Caller{}, 1<<20)
@@ -42,7 +43,7 @@
 		}
 		n.WriteAnswer(w, r, intake.Caller{}, body)
 	}))
-	go func() { _ = server.Serve(callerListener{listener, n}) }()
+	go func() { _ = server.Serve(callerListener{listener, n, &n.Intake.Connections}) }()
 	DeferCleanup(server.Close)
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
@@ -98,6 +99,7 @@
 		n, address := serveCallers(Settings{}, nil)
 		Expect(n.maxConnections()).To(BeZero())
 		Expect(n.Batches.MaxOpenBytes).To(BeZero())
+		Expect(n.MaxDecoded()).To(Equal(int64(math.MaxInt64)))
 		conn := dialCaller(address)
 		fmt.Fprint(conn, part+"X-Long: "+strings.Repeat("x", 100<<10)+"\r\n")
 		Expect(closed(conn)).To(BeFalse())
--- a/internal/host/node/intake.go
+++ b/internal/host/node/intake.go
@@ -59,6 +59,7 @@
 	Connections intake.Connections
 	Requests    intake.Turns // requests under way
 
+	peers       intake.Connections // of other hosts
 	pipelined   intake.Turns
 	decoding    *semaphore.Weighted // nil for no limit
 	decodable   int64               // weight of decoding
@@ -104,8 +105,9 @@
 
 // newIntake sets the limits that depend on the settings alone.
 func (n *Node) newIntake() {
-	n.Intake.pipelined.SetMax(maxPipelined)
+	n.Intake.peers.SetLimits(intake.ConnectionLimits{Max: n.maxPeerConnections()})
 	if memory := n.Settings.MemoryBytes; memory > 0 {
+		n.Intake.pipelined.SetMax(maxPipelined)
 		n.Intake.Requests.SetMax(int(memory / requestBytes))
 		n.Intake.decodable = memory / decodingDivisor
 		n.Intake.decoding = semaphore.NewWeighted(n.Intake.decodable)
--- a/internal/host/node/run.go
+++ b/internal/host/node/run.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 	"github.com/hyssopwall/hyssopwall/internal/rollout/batch"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
@@ -108,7 +106,7 @@
 		l   listeners
 		err error
 	)
-	if l.front, err = listenCallers(n.Settings.Listen); err != nil {
+	if l.front, err = n.listenCallers(n.Settings.Listen); err != nil {
 		return l, err
 	}
 	for _, listener := range []struct {
@@ -119,8 +117,5 @@
 			return l, err
 		}
 	}
-	if most := n.maxPeerConnections(); most > 0 {
-		l.internal = netutil.LimitListener(l.internal, most)
-	}
 	return l, nil
 }
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -27,10 +27,10 @@
 func (n *Node) serve(l listeners, entry http.Handler) *http.Server {
 	front := n.callerServer(entry)
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
-	internal := &http.Server{Handler: n.boundedPeers(n.internalHandler(), peer.MaxMessage), ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout}
-	go func() { _ = front.Serve(callerListener{l.front, n}) }() // ends with Shutdown
-	go func() { _ = ready.Serve(l.ready) }()                    // this and the following ones end with the process
-	go func() { _ = internal.Serve(l.internal) }()
+	internal := &http.Server{Handler: n.boundedPeers(n.internalHandler(), peer.MaxMessage), ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout, ConnState: trackPeer}
+	go func() { _ = front.Serve(callerListener{l.front, n, &n.Intake.Connections}) }() // ends with Shutdown
+	go func() { _ = ready.Serve(l.ready) }()                                           // this and the following ones end with the process
+	go func() { _ = internal.Serve(callerListener{l.internal, n, &n.Intake.peers}) }()
 	metrics := &http.Server{Handler: http.HandlerFunc(n.serveMetrics), ReadHeaderTimeout: headerTimeout}
 	go func() { _ = metrics.Serve(l.metrics) }()
 	return front
--- a/internal/host/node/take.go
+++ b/internal/host/node/take.go
@@ -19,6 +19,9 @@
 		})
 		return claim
 	})
+	if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+		conn.entry.Arrive()
+	}
 	return body, func() {
 		if claim != nil {
 			claim.Close(time.Now())
