--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -67,6 +67,10 @@
 	// From 1 on, batches survive the loss of their owner's zone (see batch.Batches), and zones
 	// that go silent are detected (see package silence).
 	ToleratedZones int
+	// MemoryBytes is the memory of the host's machine, and MaxFiles the number of file
+	// descriptors that it may have open. Zero means no limit.
+	MemoryBytes int64
+	MaxFiles    int
 }
 
 // StoreKeys holds the keys and key prefixes of the entries in the platform's store that hosts
@@ -217,6 +221,7 @@
 	Tally     *tally.Tally    // usage counts
 	Directory *peer.Directory // known hosts
 	Meter     *meter.Meter    // metrics
+	Intake    Intake          // what callers may take of this host
 
 	store             object.Store
 	zones             *silence.Watch      // nil unless Settings.ToleratedZones is above 0
@@ -305,6 +310,7 @@
 	}
 	n.followZones()
 	n.connectPool()
+	n.newIntake()
 	n.registerGauges()
 	n.newDutyWorkers()
 	return n
--- a/internal/host/node/run.go
+++ b/internal/host/node/run.go
@@ -76,6 +76,7 @@
 		func() { n.fetchSuspects(ctx) },
 		func() { runEvery(ctx, silenceCheckInterval, n.checkSilentSends) },
 		func() { n.watchZones(ctx) },
+		func() { n.expireConnections(ctx) },
 	}
 	if n.Settings.EvacuationLimit > 0 {
 		loops = append(loops,
@@ -117,10 +118,13 @@
 		l   listeners
 		err error
 	)
+	if l.front, err = n.listenCallers(n.Settings.Listen); err != nil {
+		return l, err
+	}
 	for _, listener := range []struct {
 		to      *net.Listener
 		address string
-	}{{&l.front, n.Settings.Listen}, {&l.ready, n.Settings.Ready}, {&l.internal, n.Settings.Internal}, {&l.metrics, n.Settings.Metrics}} {
+	}{{&l.ready, n.Settings.Ready}, {&l.internal, n.Settings.Internal}, {&l.metrics, n.Settings.Metrics}} {
 		if *listener.to, err = net.Listen("tcp", listener.address); err != nil {
 			return l, err
 		}
--- a/internal/rollout/batch/batches.go
+++ b/internal/rollout/batch/batches.go
@@ -174,8 +174,11 @@
 	HostsOutside func(regions []string) []string
 	// Zones ends the generations in zones that go silent; optional.
 	Zones *silence.Watch
-	Log   event.Log
-	Meter *meter.Meter // optional
+	// MaxOpenBytes bounds the bodies of the batches that this host runs, zero for no bound. It
+	// accepts no more batches above it. A batch that it takes over is run in any case.
+	MaxOpenBytes int64
+	Log          event.Log
+	Meter        *meter.Meter // optional
 	// ToleratedZones is the number of availability zones whose failure at a time must not
 	// delay batches. Above zero, hosts in other zones than an owner's come first in taking
 	// over its batches, silent owners are noticed sooner, and each batch has a standby.
@@ -196,6 +199,7 @@
 	ratios      map[string]*eventRatio   // by service
 	assigner    assigner
 	draining    bool
+	openBytes   int64          // size of the batches in active
 	group       sync.WaitGroup // workers, notifications and retries of ends
 }
 
--- a/internal/site/event/site.go
+++ b/internal/site/event/site.go
@@ -28,6 +28,7 @@
 	ZoneReopened
 	EvacuationsUnread
 	RegionUnknown
+	IntakeRefusing
 )
 
 func siteEvents() []Entry {
@@ -56,5 +57,6 @@
 		{ZoneReopened, Info, "zone no longer evacuated", "The platform removed the order; the zone's servers count as cold at first.", "Nothing."},
 		{EvacuationsUnread, Warning, "evacuations unread", "Neither the store nor another host let this host read the evacuated zones since its start; it serves without them.", "Check the network path from this host to the store."},
 		{RegionUnknown, Warning, "unknown region", "The configuration allows requests only in a region that no zone of the settings belongs to.", "Correct allowed_regions of the named route or workspace, or the zones of the settings."},
+		{IntakeRefusing, Warning, "callers refused to protect the host", "Requests or connections exceed what the host can hold; logged once until nothing was refused for ten seconds.", "Find the callers who send large or unfinished requests; hyssopwall_intake_refused_total has the reasons."},
 	}
 }
