Keep the items the last field of a stored batch

Cause: a batch bound to regions could not be read back, since it is encoded in pieces around its items and the regions came after them.

--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -59,8 +59,8 @@
 	Attempts      int           `json:"attempts"`
 	Expiry        time.Duration `json:"expiry"`
 	Due           time.Duration `json:"due,omitempty"`
-	Items         []Item        `json:"items"`
 	Regions       [][]string    `json:"regions,omitempty"` // lists of regions; items run only in a region of each of them
+	Items         []Item        `json:"items"`             // the last field, see encodeInPieces
 }
 
 // Item is one generation of a batch. Prefix identifies the part of its prompt that it
--- a/internal/rollout/batch/encode.go
+++ b/internal/rollout/batch/encode.go
@@ -50,8 +50,12 @@
 	if err != nil {
 		return err
 	}
-	const end = "]}" // the items are the last field
-	if err := pass([]byte(strings.TrimSuffix(string(shell), end))); err != nil {
+	const end = "]}"
+	open, ok := strings.CutSuffix(string(shell), end)
+	if !ok {
+		return &FieldError{Field: "items", Reason: "is not the last field of the encoding"}
+	}
+	if err := pass([]byte(open)); err != nil {
 		return err
 	}
 	for i, item := range items {
