Fix what the review of the merged parts found

- A window with a time from before its listing panicked on a negative shift.
- A limit of less than one request a second closed warm servers for ever.
- A failed health check of a server woke nobody that waited for it.
- Answers are cut after 20 s without progress, or 1 s when memory is short.
- Batches are measured with their headers and small fields.
- A host is cut off only when its configuration is older than a watch takes.
- A copy of more than one message a round no longer falls behind.
- Pings that are answered late by this host don't count, answers do.
- Takeovers run two at a time; silent zones aren't ended by an interrupted stream, and evacuated ones aren't probed.

--- a/internal/backend/pace/pace.go
+++ b/internal/backend/pace/pace.go
@@ -86,8 +86,9 @@
 	return inFlight < int(w.size)
 }
 
-// RampStep returns the number of steps that have passed since a server was listed.
-func RampStep(since time.Duration) int { return int(since / rampStep) }
+// RampStep returns the number of steps that have passed since a server was listed. The time is
+// negative if a request was chosen with a time from just before.
+func RampStep(since time.Duration) int { return int(max(0, since) / rampStep) }
 
 // RampTime returns the time from the listing of a server to a step.
 func RampTime(step int) time.Duration { return time.Duration(step) * rampStep }
--- a/internal/backend/pace/pace_test.go
+++ b/internal/backend/pace/pace_test.go
@@ -60,3 +60,12 @@
 		})
 	}
 })
+
+// A request is chosen with the time from before the server was listed: its goroutine stood
+// still meanwhile. Guards against a negative number of steps.
+var _ = It("is allowed for the first hosts at a time before its listing", func() {
+	window := pace.Started(time.Unix(1_800_000_000, 0))
+	before := time.Unix(1_800_000_000, 0).Add(-time.Minute)
+	Expect(window.Allows(before, 0, func() int { return 0 })).To(BeTrue())
+	Expect(window.Allows(before, 0, func() int { return 4 })).To(BeFalse())
+})
--- a/internal/backend/pool/commands.go
+++ b/internal/backend/pool/commands.go
@@ -165,7 +165,7 @@
 		if e.Name == c.Server.Name || !known || least > 0 && e.eventInterval >= least {
 			continue
 		}
-		if !p.silent[e.Zone] && e.eligible(now, need) && e.load(now) < float64(e.slots()) && p.accepts(now, e) {
+		if !p.silent[e.Zone] && e.eligible(now, need) && e.load(now) < float64(e.slots()) && p.wouldAccept(now, e) {
 			least = e.eventInterval
 		}
 	}
--- a/internal/backend/pool/evacuation.go
+++ b/internal/backend/pool/evacuation.go
@@ -40,6 +40,19 @@
 	return p.evacuations.pending
 }
 
+// EndEvacuationsWait opens all servers if AwaitEvacuations has been called, and SetEvacuated not
+// yet. It reports whether it did.
+func (p *Pool) EndEvacuationsWait() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.evacuations.pending {
+		return false
+	}
+	p.evacuations.pending = false
+	p.notify()
+	return true
+}
+
 // SetEvacuated sets the zones that are evacuated and returns those whose evacuation begins and
 // ends. Their servers get no requests, those that wait for a connection included. Running
 // requests go on.
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -390,7 +390,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.servers {
-		if !p.silent[e.Zone] && e.eligible(now, need) && 2*e.load(now) < float64(e.slots()) && p.accepts(now, e) {
+		if !p.silent[e.Zone] && e.eligible(now, need) && 2*e.load(now) < float64(e.slots()) && p.wouldAccept(now, e) {
 			return true
 		}
 	}
--- a/internal/backend/pool/warmup.go
+++ b/internal/backend/pool/warmup.go
@@ -68,14 +68,20 @@
 }
 
 // RecordHealth records the end of a health check of an instance of a server, which started at
-// the given time. It notifies waiters if the server answered.
+// the given time. It notifies waiters, at once if the server answered.
 func (p *Pool) RecordHealth(s Server, started time.Time, answered bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if e := p.current(s.instance()); e != nil && answered {
-		e.warmUp.EndCheck(p.now(), started)
-		p.notify()
+	e := p.current(s.instance())
+	if e == nil {
+		return
 	}
+	if !answered {
+		time.AfterFunc(warmup.CheckInterval, p.wake) // waiters then start the next check
+		return
+	}
+	e.warmUp.EndCheck(p.now(), started)
+	p.notify()
 }
 
 // WarmUpCounts returns the number of servers that are cold and the number of requests that
@@ -147,20 +153,31 @@
 }
 
 // accepts reports whether a server may get a request of this host now as far as its zone, its
-// warm-up and its window are concerned, and starts a health check if one is needed. The caller holds the
-// lock.
+// warm-up and its window are concerned, and starts a health check if one is needed. The caller
+// holds the lock.
 func (p *Pool) accepts(now time.Time, e *entry) bool {
+	open, decision := p.isOpen(now, e)
+	p.checkHealth(now, e, decision)
+	return open
+}
+
+// isOpen is accepts without a health check, which it leaves to the caller.
+func (p *Pool) isOpen(now time.Time, e *entry) (open bool, decision warmup.Decision) {
 	if p.evacuations.isClosed(e.Zone) {
-		return false
+		return false, warmup.Decision{}
 	}
 	if rules := p.warming.rules[e.Service]; rules.Apply() {
-		decision := e.warmUp.Decide(now, rules, p.view(e))
-		p.checkHealth(now, e, decision)
-		if !decision.Send {
-			return false
+		if decision = e.warmUp.Decide(now, rules, p.view(e)); !decision.Send {
+			return false, decision
 		}
 	}
-	return p.hasWindow(now, e)
+	return p.hasWindow(now, e), decision
+}
+
+// wouldAccept is accepts for a server that gets no request now.
+func (p *Pool) wouldAccept(now time.Time, e *entry) bool {
+	open, _ := p.isOpen(now, e)
+	return open
 }
 
 // checkHealth starts a health check if a decision asks for it. The caller holds the lock.
--- a/internal/backend/silence/watch.go
+++ b/internal/backend/silence/watch.go
@@ -49,13 +49,17 @@
 	return s
 }
 
-// Event records an event of the stream.
+// Event records an event of the stream. One that was interrupted may still have read an event
+// before that, which doesn't end the silence of its zone.
 func (s *Stream) Event(now time.Time) {
 	if s == nil {
 		return
 	}
 	s.watch.mu.Lock()
 	defer s.watch.mu.Unlock()
+	if s.interrupted {
+		return
+	}
 	s.active = true
 	s.watch.observe(now, s.zone)
 }
--- a/internal/backend/warmup/warmup.go
+++ b/internal/backend/warmup/warmup.go
@@ -19,7 +19,6 @@
 
 import (
 	"cmp"
-	"math"
 	"time"
 )
 
@@ -37,8 +36,8 @@
 	// staleCheckTTL is the age of the latest health check beyond which a host with an old view
 	// checks a server again. Other answers don't show that a server has turned cold.
 	staleCheckTTL = time.Second
-	// checkInterval is the minimum time between two health checks of a server.
-	checkInterval = 500 * time.Millisecond
+	// CheckInterval is the minimum time between two health checks of a server.
+	CheckInterval = 500 * time.Millisecond
 	// listLag is how much older the platform's list may be than a response. Within this time
 	// after a response, the list can't shorten the warm-up that the response named.
 	listLag = 2500 * time.Millisecond
@@ -68,14 +67,12 @@
 func (r Rules) Limit() float64 { return r.Rate*cmp.Or(r.Overage, 1) + r.Slack }
 
 // Share returns the number of requests that one host may send to a cold server within a
-// second. It is at least 1 if the limit allows one request at all.
-func (r Rules) Share() int {
-	limit := min(r.Limit(), math.MaxInt32)
-	if limit < 1 {
-		return 0
-	}
-	return max(1, int(limit/hostShare))
-}
+// second. It is at least 1: a server that nobody may send to never proves to be warm.
+func (r Rules) Share() int { return max(1, int(min(r.Limit(), maxLimit)/hostShare)) }
+
+// maxLimit bounds the limit, and with it the sends that are remembered of each server. No
+// server takes more requests than that in a second.
+const maxLimit = 3000
 
 // View is what a host knows beyond the server itself. Age is the age of its view of the
 // store. Rank returns its position, from 0, among the possible senders of the service. Since
@@ -162,7 +159,7 @@
 	if !r.Apply() {
 		return Decision{Send: true}
 	}
-	checkDue := now.Sub(s.checkedAt) >= checkInterval
+	checkDue := now.Sub(s.checkedAt) >= CheckInterval
 	stale := v.Age > maxViewAge
 	if s.CheckNeeded() || stale && now.Sub(s.healthyAt) > staleCheckTTL {
 		return Decision{Check: checkDue} // rule 3
--- a/internal/entry/intake/connections.go
+++ b/internal/entry/intake/connections.go
@@ -157,7 +157,7 @@
 		return true
 	}
 	limit := c.connections.headLimit()
-	return limit <= 0 || bytes <= limit+headSlack
+	return limit <= 0 || bytes-headSlack <= limit
 }
 
 // addHeadBytes counts n bytes of a head and returns their sum, 0 while a request is under way.
--- a/internal/host/node/callers.go
+++ b/internal/host/node/callers.go
@@ -21,7 +21,7 @@
 	// answerPiece is written at a time, within answerTimeout, so that a caller that reads
 	// nothing holds the rest of its answer no longer than that.
 	answerPiece   = 64 << 10
-	answerTimeout = 5 * time.Second
+	answerTimeout = 20 * time.Second
 	// expiryInterval is the interval at which head and idle times are checked.
 	expiryInterval = 250 * time.Millisecond
 	// maxServerTimeout bounds the head and idle times that a configuration can set.
--- a/internal/host/node/evacuation.go
+++ b/internal/host/node/evacuation.go
@@ -56,8 +56,7 @@
 // evacuations.
 func (n *Node) endEvacuationsWait(ctx context.Context) {
 	sleep(ctx, evacuationsTimeout)
-	if ctx.Err() == nil && n.Pool.EvacuationsPending() {
+	if ctx.Err() == nil && n.Pool.EndEvacuationsWait() {
 		n.Log.Emit(event.EvacuationsUnread, "ms", evacuationsTimeout.Milliseconds())
-		n.setEvacuated(nil)
 	}
 }
--- a/internal/host/node/intake.go
+++ b/internal/host/node/intake.go
@@ -50,7 +50,7 @@
 
 // answerPatience is how long a caller must have accepted nothing of its answer before its
 // connection is closed while memory is short.
-const answerPatience = 100 * time.Millisecond
+const answerPatience = time.Second
 
 // Intake bounds what callers and other hosts may take of this host.
 type Intake struct {
@@ -171,6 +171,7 @@
 		n.CountRefusal(refused.Reason)
 		w.Header().Set("Retry-After", strconv.FormatFloat(refused.RetryAfter.Seconds(), 'f', 3, 64))
 	}
+	w.Header().Set("Content-Length", "0") // so that the response ends before the rest of the body is read
 	w.WriteHeader(http.StatusServiceUnavailable)
 	// A connection that is closed with unread data is reset, and the caller may lose the
 	// response. An error only shortens the time for reading it.
--- a/internal/host/node/isolation.go
+++ b/internal/host/node/isolation.go
@@ -23,9 +23,12 @@
 	// otherZoneProbes is the number of hosts that are probed at a time, so that single hosts
 	// that are down don't matter.
 	otherZoneProbes = 2
-	// cutOffDelay is the time without an answer from another zone, and without news from the
-	// store, after which the host counts as cut off: three probes.
+	// cutOffDelay is the time without an answer from another zone after which the host counts as
+	// cut off: three probes.
 	cutOffDelay = 1300 * time.Millisecond
+	// newsDelay is the age of the configuration from which it may be cut off. A watch confirms
+	// the configuration each policyWatchWait, later if the store is slow.
+	newsDelay = policyWatchWait + 500*time.Millisecond
 )
 
 // probeOtherZones asks hosts of other zones whether they answer, while the configuration
@@ -57,9 +60,9 @@
 	}
 }
 
-// isCutOff reports whether neither the store nor a host of another zone has been heard of for
-// cutOffDelay. It is false where the site need not tolerate the loss of a zone.
+// isCutOff reports whether there is no news from the store, and no host of another zone has
+// answered for cutOffDelay. It is false where the site need not tolerate the loss of a zone.
 func (n *Node) isCutOff() bool {
 	silence := n.clock() - time.Duration(n.otherZoneAnswered.Load())
-	return n.Settings.ToleratedZones > 0 && silence > cutOffDelay && n.policyAge() > cutOffDelay
+	return n.Settings.ToleratedZones > 0 && silence > cutOffDelay && n.policyAge() > newsDelay
 }
--- a/internal/host/node/silence.go
+++ b/internal/host/node/silence.go
@@ -46,6 +46,9 @@
 
 // probeZone sends a health check to a server. Any answer ends the silence of its zone.
 func (n *Node) probeZone(ctx context.Context, server pool.Server) {
+	if n.Pool.IsEvacuated(server.Zone) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
 	defer cancel()
 	if n.Platform.CheckHealth(ctx, server, n.healthPath(server.Service)) == nil {
--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -96,16 +96,22 @@
 	return sum
 }
 
-// size returns the number of bytes of the bodies of all items, with those of their scorers.
+// size estimates the memory of all items in bytes, with their scorers.
 func (b Batch) size() int64 {
-	sum := int64(0)
+	sum := 0
 	for _, item := range b.Items {
-		sum += int64(len(item.Body))
+		sum += itemOverhead + len(item.ID) + len(item.Target) + len(item.Group) + len(item.Prefix) + len(item.Body)
+		for name, values := range item.Header {
+			sum += len(name)
+			for _, value := range values {
+				sum += len(value)
+			}
+		}
 		if item.Scorer != nil {
-			sum += int64(len(item.Scorer.Body))
+			sum += len(item.Scorer.Target) + len(item.Scorer.Host) + len(item.Scorer.Body)
 		}
 	}
-	return sum
+	return int64(sum)
 }
 
 // Check validates a decoded batch. Its error is a *FieldError.
--- a/internal/rollout/batch/carry.go
+++ b/internal/rollout/batch/carry.go
@@ -167,6 +167,7 @@
 	reply := PartialsReply{Partials: map[string]Partial{}, Incarnation: b.Incarnation}
 	for _, item := range request.Items {
 		if kept, ok := b.partials[item]; ok {
+			kept.Texts = slices.Clip(kept.Texts) // the generations that get it append to it
 			reply.Partials[item] = kept.Partial
 		}
 	}
--- a/internal/rollout/batch/standby.go
+++ b/internal/rollout/batch/standby.go
@@ -23,6 +23,8 @@
 	copyInterval = 300 * time.Millisecond
 	// copyTimeout bounds one message, so that a silent standby delays the next round little.
 	copyTimeout = 300 * time.Millisecond
+	// copyFetchTimeout bounds the request for a copy, which may hold megabytes.
+	copyFetchTimeout = 400 * time.Millisecond
 	// copyKeepAlive is the longest time between two messages, below partialRetention.
 	copyKeepAlive = 10 * time.Second
 	// maxCopyMisses is the number of messages in a row without an answer after which the
@@ -39,6 +41,9 @@
 	// since a message to another host has to hold it.
 	copyMessageBytes = 256 << 10
 	copyItemBytes    = 512 << 10
+	// maxMessagesPerRound bounds the messages of a batch in one round. One holds what a batch of
+	// 100 concurrent items generates in copyInterval; a new standby gets more.
+	maxMessagesPerRound = 4
 	// maxParallelCopies bounds the messages in flight.
 	maxParallelCopies = 8
 )
@@ -205,15 +210,16 @@
 	return true
 }
 
-// send sends what is new to the standby.
-func (c *copySender) send(ctx context.Context) {
+// send sends what is new to the standby. It reports whether the standby has taken the message
+// and there is more to send.
+func (c *copySender) send(ctx context.Context) (more bool) {
 	w := c.worker
 	if c.stale || !c.chooseStandby() {
-		return
+		return false
 	}
 	request, sent, ok := c.next()
 	if !ok {
-		return
+		return false
 	}
 	c.sequence++
 	request.Sequence = c.sequence
@@ -240,7 +246,9 @@
 		c.startOver()
 	default:
 		c.acknowledge(sent)
+		return size > copyMessageBytes/2
 	}
+	return false
 }
 
 // replaceStandby makes the next host the standby from the next message on.
@@ -266,7 +274,11 @@
 		group.SetLimit(maxParallelCopies)
 		for _, w := range b.runningWorkers() {
 			group.Go(func() error {
-				w.copies.send(ctx)
+				for range maxMessagesPerRound {
+					if !w.copies.send(ctx) {
+						break
+					}
+				}
 				return nil
 			})
 		}
@@ -281,7 +293,7 @@
 	if w.ToleratedZones <= 0 || w.previous.host == "" {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, partialsTimeout)
+	ctx, cancel := context.WithTimeout(ctx, copyFetchTimeout)
 	defer cancel()
 	// One host more than an owner tries, because the owner puts its own previous owner last.
 	order := succession(w.rankedInRegions(w.batch.ID, w.ownerRegions(w.batch)), w.previous.host, "")
--- a/internal/rollout/batch/takeover.go
+++ b/internal/rollout/batch/takeover.go
@@ -33,6 +33,10 @@
 	drainGrace = 1500 * time.Millisecond
 )
 
+// maxParallelTakeovers bounds the takeovers of a host at a time, each of which reads and
+// decodes the whole batch. A lost zone may leave it several.
+const maxParallelTakeovers = 2
+
 // watchOwners takes over batches whose owners fail (rule 4).
 func (b *Batches) watchOwners(ctx context.Context) {
 	watch := b.ownerWatch()
@@ -40,6 +44,7 @@
 	defer ticker.Stop()
 	misses := map[string]int{} // by missKey, or by batch if there is no owner to ping
 	var attempts takeoverAttempts
+	running := make(chan struct{}, maxParallelTakeovers)
 	for {
 		select {
 		case <-ctx.Done():
@@ -60,7 +65,14 @@
 				continue
 			}
 			b.group.Go(func() { // so that a call to the store that hangs delays no ping
-				attempts.end(id, b.checkPath(ctx, id, k) && !b.answersNow(ctx, watch, k) && b.takeOver(ctx, id, k))
+				lost := b.checkPath(ctx, id, k) && !b.answersNow(ctx, watch, k)
+				complete := false
+				if lost {
+					running <- struct{}{}
+					complete = b.takeOver(ctx, id, k)
+					<-running
+				}
+				attempts.end(id, complete)
 			})
 		}
 	}
@@ -140,14 +152,13 @@
 	watched := b.watchedOwners(open, misses)
 	began := time.Now()
 	statuses := b.pingAll(ctx, watch, slices.Collect(maps.Keys(watched)))
-	if watch.stallMargin > 0 && time.Since(began) > watch.pingTimeout+watch.stallMargin {
-		return // this host stood still: a missing answer says nothing about the owner
-	}
+	// If this host stood still, a missing answer says nothing about the owner.
+	stalled := watch.stallMargin > 0 && time.Since(began) > watch.pingTimeout+watch.stallMargin
 	for owner, status := range statuses {
 		for _, incarnation := range watched[owner] {
 			if status.Healthy && status.Incarnation == incarnation {
 				misses[b.missKey(owner, incarnation)] = 0
-			} else {
+			} else if !stalled {
 				misses[b.missKey(owner, incarnation)]++
 			}
 		}
--- a/internal/rollout/batch/work.go
+++ b/internal/rollout/batch/work.go
@@ -399,6 +399,8 @@
 // releaseBodies frees the bodies of the items of a batch whose results are all listed. None of
 // them is read again.
 func (w *worker) releaseBodies() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for i := range w.batch.Items {
 		w.batch.Items[i].Body, w.batch.Items[i].Scorer = nil, nil
 	}
@@ -406,8 +408,10 @@
 
 // body returns the body of an item without a listed result.
 func (w *worker) body(item string) ([]byte, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	at := slices.IndexFunc(w.batch.Items, func(i Item) bool { return i.ID == item })
-	if at < 0 || w.isListed(item) {
+	if at < 0 || w.listed[item] {
 		return nil, false
 	}
 	return w.batch.Items[at].Body, true
