Move generations once a pace has lasted for 0.8 s

A window counts as slow from 1.4 times the other engine's pace on, which a single slow event doesn't reach, so that noise of 0.6 s still moves nothing.

--- a/internal/rollout/batch/move.go
+++ b/internal/rollout/batch/move.go
@@ -46,16 +46,17 @@
 // Limits of MoveAvoidsLateness.
 const (
 	// minPaceWindows and minPaceTime are what a pace has to have lasted for. Engines are
-	// slowed by noise for about 0.6 s at a time, which may touch two windows.
+	// slowed by noise for about 0.6 s at a time, which may touch two windows and shows in less
+	// than 0.8 s of those that minSpeedup counts as slow.
 	minPaceWindows = 2
-	minPaceTime    = 1500 * time.Millisecond
+	minPaceTime    = 800 * time.Millisecond
 	// maxPaceWindows is the number of windows kept. It covers minPaceTime for event
 	// intervals from 19 ms; the usual ones are 40 to 90 ms.
 	maxPaceWindows = 16
 	// minSpeedup is how much longer the events have to take here than on the fastest other
 	// engine. The fastest of some 45 measured paces is well below the mean also when all
-	// engines are alike.
-	minSpeedup = 1.25
+	// engines are alike, and one slow event in a window of five is noise.
+	minSpeedup = 1.4
 )
 
 // Progress is the state of a generation on an engine.
