Pass over hosts that are gone, and remove their entries

A host removes its entry at a planned stop. A host whose entry is gone writes it again. The ranks for cold servers and the roles of watchers go on counting all listed hosts.

--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -71,8 +71,32 @@
 
 	mu         sync.Mutex
 	hosts      map[string]Host
-	changes    uint64     // number of changes of hosts
-	cachedRole *watchRole // nil before its first use and after a change
+	versions   map[string]uint64 // of the objects of hosts
+	sorted     []Host            // all hosts, this one included, by name; nil after a change
+	changes    uint64            // number of changes of hosts
+	cachedRole *watchRole        // nil before its first use and after a change
+	contacts   map[string]*contact
+	registered uint64        // version of this host's object, zero before it is written
+	absent     chan struct{} // holds a value if the object was found missing; see KeepRegistered
+}
+
+// KeepRegistered writes this host's object, and again if another host has removed it, until the
+// context ends.
+func (d *Directory) KeepRegistered(ctx context.Context, store object.Store) {
+	d.mu.Lock()
+	if d.absent == nil {
+		d.absent = make(chan struct{}, 1)
+	}
+	absent := d.absent
+	d.mu.Unlock()
+	for {
+		d.Register(ctx, store)
+		select {
+		case <-ctx.Done():
+			return
+		case <-absent:
+		}
+	}
 }
 
 // Register writes this host's object and retries until a write succeeds or the context
@@ -96,11 +120,51 @@
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	key := KeyPrefix + d.Self.Name
-	_, err := store.Put(ctx, key, value, 0)
+	stored, err := store.Put(ctx, key, value, 0)
 	if conflict, ok := errors.AsType[*object.ConflictError](err); ok {
-		_, err = store.Put(ctx, key, value, conflict.Have)
+		stored, err = store.Put(ctx, key, value, conflict.Have)
+	}
+	if err != nil {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.registered = stored.Version
+	return true
+}
+
+// Unregister removes this host's object at the end of a planned stop, unless a new process has
+// replaced it. If it fails, other hosts find out that this one is gone (see Pruner).
+func (d *Directory) Unregister(ctx context.Context, store object.Store) {
+	d.mu.Lock()
+	version := d.registered
+	d.registered = 0
+	d.mu.Unlock()
+	if version > 0 {
+		_ = store.Delete(ctx, KeyPrefix+d.Self.Name, version) // see above
+	}
+}
+
+// noteMissing wakes KeepRegistered if a change shows that this host's object is gone. A list or
+// an event from before the object was written shows nothing. The caller holds the lock.
+func (d *Directory) noteMissing(change object.Change) {
+	if d.registered == 0 || d.absent == nil || change.Revision <= d.registered {
+		return
+	}
+	gone := change.Complete
+	for _, o := range change.Objects {
+		if o.Key == KeyPrefix+d.Self.Name {
+			gone = o.Deleted && o.Version > d.registered
+		}
+	}
+	if !gone {
+		return
+	}
+	d.registered = 0
+	select {
+	case d.absent <- struct{}{}:
+	default: // KeepRegistered writes it anyway
 	}
-	return err == nil
 }
 
 // ApplyChange applies a change of the hosts' objects. It leaves out objects that can't be
@@ -110,15 +174,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.changes++
-	d.cachedRole = nil
+	d.cachedRole, d.sorted = nil, nil
+	d.noteMissing(change)
 	if change.Complete || d.hosts == nil {
-		d.hosts = map[string]Host{}
+		d.hosts, d.versions = map[string]Host{}, map[string]uint64{}
+		defer d.dropContacts()
 	}
 	var invalid []error
 	for _, o := range change.Objects {
 		name := o.Key[len(KeyPrefix):]
 		if o.Deleted {
 			delete(d.hosts, name)
+			delete(d.contacts, name)
 			continue
 		}
 		var host Host
@@ -130,33 +197,52 @@
 			invalid = append(invalid, err)
 			continue
 		}
-		d.hosts[name] = host
+		if d.hosts[name].Incarnation != host.Incarnation {
+			delete(d.contacts, name) // they are those of an earlier process
+		}
+		d.hosts[name], d.versions[name] = host, o.Version
 	}
 	return invalid
 }
 
+// dropContacts drops what calls have shown of hosts that are not listed. The caller holds the lock.
+func (d *Directory) dropContacts() {
+	for name := range d.contacts {
+		if _, listed := d.hosts[name]; !listed {
+			delete(d.contacts, name)
+		}
+	}
+}
+
 // Hosts returns the known hosts, this one included, ordered by name.
-func (d *Directory) Hosts() []Host {
+func (d *Directory) Hosts() []Host { return slices.Clone(d.byName()) }
+
+// byName is Hosts without a copy: the result must not be changed. It is built once after each
+// change, since ranks of a large site are computed many times a second.
+func (d *Directory) byName() []Host {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	all := []Host{d.Self}
-	for _, h := range d.hosts {
-		if h.Name != d.Self.Name {
-			all = append(all, h)
+	if d.sorted == nil {
+		d.sorted = append(d.sorted, d.Self)
+		for _, h := range d.hosts {
+			if h.Name != d.Self.Name {
+				d.sorted = append(d.sorted, h)
+			}
 		}
+		slices.SortFunc(d.sorted, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
 	}
-	slices.SortFunc(all, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
-	return all
+	return d.sorted
 }
 
 // Find returns a host by its name.
 func (d *Directory) Find(name string) (Host, bool) {
-	for _, h := range d.Hosts() {
-		if h.Name == name {
-			return h, true
-		}
+	if name == d.Self.Name {
+		return d.Self, true
 	}
-	return Host{}, false
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h, ok := d.hosts[name]
+	return h, ok
 }
 
 // Rank returns the position of this host, from 0, in the order of the known hosts by
@@ -164,7 +250,7 @@
 func (d *Directory) Rank(key string, without ...string) int {
 	own := score(key, d.Self.Name)
 	rank := 0
-	for _, h := range d.Hosts() {
+	for _, h := range d.byName() {
 		if h.Name != d.Self.Name && !slices.Contains(without, h.Name) && score(key, h.Name) > own {
 			rank++
 		}
@@ -240,10 +326,14 @@
 	if err == nil {
 		err = cbor.Unmarshal(raw, &answer)
 	}
+	now := time.Now()
 	if err != nil {
+		if !errors.Is(ctx.Err(), context.Canceled) { // else it shows nothing
+			d.recordCall(host, now, false)
+		}
 		return answer, &UnreachableError{Host: host, Err: err}
 	}
-	now := time.Now()
+	d.recordCall(host, now, true)
 	d.answeredAt.Store(&now)
 	return answer, nil
 }
--- a/internal/host/node/learn.go
+++ b/internal/host/node/learn.go
@@ -72,7 +72,7 @@
 // may contend for the duty (see mayContend).
 func (n *Node) trackDuty(ctx context.Context) {
 	n.awaitHosts(ctx)
-	if n.Directory.Rank(ControlDuty) < maxContenders {
+	if n.Directory.RankAnswering(ControlDuty) < maxContenders {
 		last, err := n.holder.LastHolder(ctx, ControlDuty)
 		n.resumesDuty.Store(err == nil && last == n.Settings.Host) // otherwise the host waits before it contends
 	}
@@ -91,13 +91,13 @@
 // the duty, if this host is a contender and doesn't hold it. It records the time of each
 // claim for mayContend.
 func (n *Node) probeHolder(ctx context.Context) {
-	if _, held := n.holder.Held(ControlDuty); held || n.Directory.Rank(ControlDuty) >= maxContenders {
+	if _, held := n.holder.Held(ControlDuty); held || n.Directory.RankAnswering(ControlDuty) >= maxContenders {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, holderProbeInterval)
 	defer cancel()
 	var group sync.WaitGroup
-	for _, host := range n.Directory.First(ControlDuty, maxContenders+1) {
+	for _, host := range n.Directory.FirstAnswering(ControlDuty, maxContenders+1) {
 		if host == n.Settings.Host {
 			continue
 		}
--- a/internal/host/node/ready.go
+++ b/internal/host/node/ready.go
@@ -49,14 +49,14 @@
 }
 
 // mayContend reports whether this host may contend for the duty. It must be ready and among
-// the first maxContenders hosts, and no other host may have claimed the duty within
+// the first maxContenders hosts that answer, and no other host may have claimed the duty within
 // holderTimeout. A host that just started or lost the duty waits for Settings.ContendDelay, so
 // that two hosts don't take turns, unless its last holder was an earlier process of this host.
 func (n *Node) mayContend(string) bool {
 	now := n.clock()
 	mayReturn := n.resumesDuty.Load() || now-time.Duration(n.dutyLost.Load()) > n.Settings.ContendDelay
 	vacant := now-time.Duration(n.otherHeld.Load()) > holderTimeout
-	return mayReturn && vacant && n.Directory.Rank(ControlDuty) < maxContenders && n.Ready()
+	return mayReturn && vacant && n.Directory.RankAnswering(ControlDuty) < maxContenders && n.Ready()
 }
 
 // Policy returns the current configuration, or nil before the first one has been read.
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -110,16 +110,25 @@
 	return mux
 }
 
-// peers implements batch.Peers by calls to the hosts of the directory.
+// peers implements batch.Peers by calls to the hosts of the directory. Ranks pass over hosts
+// that don't answer this one.
 type peers struct {
 	*peer.Directory
 }
 
+func (p peers) Rank(key string, without ...string) int {
+	return p.Directory.RankAnswering(key, without...)
+}
+
+func (p peers) First(key string, count int) []string {
+	return p.Directory.FirstAnswering(key, count)
+}
+
 func (p peers) Ranked(key string) []batch.RankedHost {
-	hosts := p.Directory.Ranked(key)
+	hosts, answering := p.Directory.RankedAnswering(key)
 	ranked := make([]batch.RankedHost, len(hosts))
 	for i, h := range hosts {
-		ranked[i] = batch.RankedHost{Name: h.Name, Zone: h.Zone}
+		ranked[i] = batch.RankedHost{Name: h.Name, Zone: h.Zone, Silent: i >= answering}
 	}
 	return ranked
 }
--- a/internal/host/node/stop.go
+++ b/internal/host/node/stop.go
@@ -50,8 +50,14 @@
 		n.Log.Emit(event.RequestsCut, "err", err.Error())
 	}
 	handOver.Wait()
+	unregisterCtx, cancelUnregister := context.WithTimeout(ctx, unregisterTimeout)
+	defer cancelUnregister()
+	n.Directory.Unregister(unregisterCtx, n.store) // a host that starts again registers again
 }
 
+// unregisterTimeout bounds the last call to the store of a planned stop.
+const unregisterTimeout = 300 * time.Millisecond
+
 // workLeft returns the time until a stopping host ends its work, at least zero.
 func (n *Node) workLeft() time.Duration {
 	return max(0, time.Duration(n.drainingSince.Load())+n.workTime()-n.clock())
--- a/internal/rollout/batch/copies_test.go
+++ b/internal/rollout/batch/copies_test.go
@@ -26,7 +26,7 @@
 var errLost = errors.New("lost")
 
 func (*lossyPeers) Ranked(string) []RankedHost {
-	return []RankedHost{{"a1", "a"}, {"b1", "b"}, {"a2", "a"}, {"c1", "c"}}
+	return []RankedHost{{Name: "a1", Zone: "a"}, {Name: "b1", Zone: "b"}, {Name: "a2", Zone: "a"}, {Name: "c1", Zone: "c"}}
 }
 
 func (p *lossyPeers) Copy(_ context.Context, host string, request CopyRequest) (CopyReply, error) {
--- a/internal/rollout/batch/rank.go
+++ b/internal/rollout/batch/rank.go
@@ -7,17 +7,19 @@
 
 // With ToleratedZones, a batch has a succession: all hosts but its owner, in the order in
 // which they take it over. It depends on the batch, its record and the list of hosts alone,
-// so that all hosts agree on it. Hosts in other zones than the owner's come first, since a
-// zone fails as a unit.
+// so that all hosts agree on it, but for hosts that some of them don't reach. Hosts in other
+// zones than the owner's come first, since a zone fails as a unit.
 
-// RankedHost is a host of the site and its availability zone.
+// RankedHost is a host of the site and its availability zone. Silent says that it has stopped
+// answering this host; it may have been removed for good.
 type RankedHost struct {
 	Name, Zone string
+	Silent     bool
 }
 
 // succession returns the hosts that may take over a batch, first the one that does so first:
-// the hosts outside the owner's zone, those inside it, and last the previous owner, which
-// has failed lately. Ranked holds all hosts in the order of the batch's rank.
+// the hosts outside the owner's zone, those inside it, then the previous owner, which has failed
+// lately, and last the silent ones. Ranked holds all hosts in the order of the batch's rank.
 func succession(ranked []RankedHost, owner, previousOwner string) []string {
 	zone := ""
 	for _, h := range ranked {
@@ -25,10 +27,12 @@
 			zone = h.Zone
 		}
 	}
-	var outside, inside, last []string
+	var outside, inside, last, silent []string
 	for _, h := range ranked {
 		switch {
 		case h.Name == owner:
+		case h.Silent:
+			silent = append(silent, h.Name)
 		case h.Name == previousOwner:
 			last = append(last, h.Name)
 		case h.Zone == zone:
@@ -37,7 +41,7 @@
 			outside = append(outside, h.Name)
 		}
 	}
-	return slices.Concat(outside, inside, last)
+	return slices.Concat(outside, inside, last, silent)
 }
 
 // takeoverRank returns the position of this host, from 0, among those that may take over a
--- a/internal/rollout/batch/rank_test.go
+++ b/internal/rollout/batch/rank_test.go
@@ -39,6 +39,13 @@
 	}
 }, Entry(nil, uint64(1)), Entry(nil, uint64(2)), Entry(nil, uint64(3)), Entry(nil, uint64(4)))
 
+// Guards against a batch that nobody takes over because hosts that were removed for good are
+// ranked before all others: only the first of the succession watch an owner.
+var _ = It("names hosts that answer before silent ones in the succession of a batch", func() {
+	ranked := []RankedHost{{Name: "gone1", Zone: "b", Silent: true}, {Name: "owner", Zone: "a", Silent: true}, {Name: "gone2", Zone: "a", Silent: true}, {Name: "b1", Zone: "b"}, {Name: "previous", Zone: "b"}, {Name: "a1", Zone: "a"}}
+	Expect(succession(ranked, "owner", "previous")).To(Equal([]string{"b1", "a1", "previous", "gone1", "gone2"}))
+})
+
 // Guards against a changed watch over owners on sites that do not ask for it.
 var _ = It("watches owners as before without tolerated zones", func() {
 	b := &Batches{}
--- a/internal/site/event/fleet.go
+++ b/internal/site/event/fleet.go
@@ -25,6 +25,7 @@
 	RelayTimedOut
 	WatchFailed
 	HandlerPanicked
+	HostRemoved
 )
 
 func fleetEvents() []Entry {
@@ -50,5 +51,6 @@
 		{RelayTimedOut, Warning, "peer did not relay a store call", "It did not answer this host in time.", "Check the named host if the store is healthy."},
 		{WatchFailed, Warning, "watch failed", "Neither the store nor the host that relays the watch answered; the watch is retried.", "Compare its duration with the time within which a change has to be applied."},
 		{HandlerPanicked, Error, "handler panicked", "A message of the named peer met a fault of this program; the call failed and the host goes on.", "Report the fault with the stack in the log line."},
+		{HostRemoved, Info, "host removed from the list", "It has answered no call of this host for a long time.", "Nothing; if the host runs, it writes its entry again."},
 	}
 }
