--- a/internal/fleet/peer/mirror.go
+++ b/internal/fleet/peer/mirror.go
@@ -98,6 +98,18 @@
 	m.wake()
 }
 
+// Forget drops the objects for which drop returns true. Hosts that list the mirror don't get them
+// any more.
+func (m *Mirror) Forget(drop func(object.Object) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for key, o := range m.objects {
+		if drop(o) {
+			delete(m.objects, key)
+		}
+	}
+}
+
 // wake wakes the calls that wait in serve. The caller holds the lock.
 func (m *Mirror) wake() {
 	if m.changed != nil {
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -60,6 +60,9 @@
 	// EvacuationLimit is the time from which on no request may get to a zone after its
 	// evacuation was ordered. Zero means that the platform orders none.
 	EvacuationLimit time.Duration
+	// BatchRetention is how long after its submission an ended batch can be read. Its objects are
+	// removed from the store some time later. Zero means that they are kept.
+	BatchRetention time.Duration
 	// Bootstrap says that the whole site is starting for the first time. The host then
 	// waits for a moment before it reads the list of hosts.
 	Bootstrap bool
@@ -105,6 +108,8 @@
 	// ReportUsage reports the request counts of a usage window by workspace. The grant
 	// proves that this host holds ControlDuty.
 	ReportUsage func(ctx context.Context, window int64, counts tally.Counts, grant lease.Grant) error
+	// Pages reads the store page by page; nil if old batches are kept.
+	Pages batch.Pages
 	// CompleteRetirement records in the store that a host with a disk has been emptied.
 	CompleteRetirement func(ctx context.Context, entry object.Object) error
 }
@@ -306,6 +311,7 @@
 		Pool: n.Pool, Engine: platform.Engine, ScorerClient: scorerClient{n},
 		StoreReachable: func() bool { return n.policyAge() < maxReachableAge }, RetryAfter: n.outageRetryAfter,
 		Region: settings.Region, HostsOutside: n.hostsOutside,
+		Retention: settings.BatchRetention, Pages: platform.Pages,
 		Log: n.Log, Meter: n.Meter, ToleratedZones: settings.ToleratedZones,
 	}
 	n.followZones()
--- a/internal/host/node/run.go
+++ b/internal/host/node/run.go
@@ -60,6 +60,8 @@
 		follow(watchTimes{direct: directWatchWait, watcher: batchesWatcherWait, minInterval: minWatchInterval}, batch.RecordPrefix, n.Batches.ApplyChange),
 		func() { n.Directory.KeepRegistered(ctx, n.store) },
 		func() { n.pruner().Run(ctx) },
+		func() { n.Batches.RemoveExpired(ctx, n.holdsDuty) },
+		func() { runEvery(ctx, forgetInterval, n.forgetExpired) },
 		func() { n.Batches.Run(ctx) },
 		func() { n.holder.Run(ctx) },
 		func() { n.reporter.Run(ctx) },
--- a/internal/platform/object/commands.go
+++ b/internal/platform/object/commands.go
@@ -31,8 +31,15 @@
 	return stored, nil
 }
 
-// Delete implements Writer.
+// Delete implements Writer. For AnyVersion it reads the object first.
 func (c *Client) Delete(ctx context.Context, key string, expect uint64) error {
+	if expect == AnyVersion {
+		found, err := c.Get(ctx, key)
+		if err != nil {
+			return err
+		}
+		expect = found.Version
+	}
 	_, err := c.write(ctx, http.MethodDelete, key, nil, expect)
 	return err
 }
--- a/internal/platform/object/object.go
+++ b/internal/platform/object/object.go
@@ -10,12 +10,16 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 )
 
 // MaxValue is the largest value in bytes that the platform stores.
 const MaxValue = 1 << 20
 
+// AnyVersion as the expected version of a delete stands for any version.
+const AnyVersion = math.MaxUint64
+
 // Object is one stored value. Version is the revision of the entire store at which the
 // value was written; it grows with each write and is never reused. Deleted marks, in the
 // result of a watch, an object that was removed at that version.
@@ -59,7 +63,8 @@
 	// a *SizeError if the value is too large, and an *UnknownError if it is
 	// not known whether the write took effect.
 	Put(ctx context.Context, key string, value []byte, expect uint64) (Object, error)
-	// Delete removes the object under the same condition as Put. For an
+	// Delete removes the object under the same condition as Put, or whatever its version
+	// if expect is AnyVersion. For an
 	// object that doesn't exist, some implementations return nil, others an
 	// error.
 	Delete(ctx context.Context, key string, expect uint64) error
--- a/internal/rollout/batch/batches.go
+++ b/internal/rollout/batch/batches.go
@@ -177,8 +177,12 @@
 	// MaxOpenBytes bounds the bodies of the batches that this host runs, zero for no bound. It
 	// accepts no more batches above it. A batch that it takes over is run in any case.
 	MaxOpenBytes int64
-	Log          event.Log
-	Meter        *meter.Meter // optional
+	// Retention is how long after its submission an ended batch can be read, zero for ever. Pages
+	// reads the store page by page. Both are needed to remove old batches (see RemoveExpired).
+	Retention time.Duration
+	Pages     Pages
+	Log       event.Log
+	Meter     *meter.Meter // optional
 	// ToleratedZones is the number of availability zones whose failure at a time must not
 	// delay batches. Above zero, hosts in other zones than an owner's come first in taking
 	// over its batches, silent owners are noticed sooner, and each batch has a standby.
--- a/internal/rollout/batch/queries.go
+++ b/internal/rollout/batch/queries.go
@@ -57,7 +57,7 @@
 		b.applyRecord(id, record, version)
 		k = known{record, version}
 	}
-	if k.Workspace != workspace {
+	if k.Workspace != workspace || k.IsExpired(time.Now(), b.Retention) {
 		return Record{}, &NotFoundError{ID: id}
 	}
 	return k.Record, nil
--- a/internal/site/event/rollout.go
+++ b/internal/site/event/rollout.go
@@ -27,6 +27,7 @@
 	ReleaseAnnounced
 	HomeSkipped
 	StandbyReplaced
+	BatchesScanned
 )
 
 func rolloutEvents() []Entry {
@@ -55,5 +56,6 @@
 		{ReleaseAnnounced, Info, "weights release announced", "A trainer published new weights.", "Nothing."},
 		{HomeSkipped, Info, "home host of a batch skipped", "It did not answer, or accepts no batches at present; the next host in order, or this one, runs the batch.", "Check the named host if this lasts."},
 		{StandbyReplaced, Info, "standby of a batch replaced", "It did not answer, or its memory for copies is full; the next host in order gets the copy of the texts.", "Check the named host if this lasts."},
+		{BatchesScanned, Info, "records of batches read", "This host took over the duty a minute ago, or some hours have passed; objects of old batches were removed.", "Nothing."},
 	}
 }
--- a/internal/standin/objects/objects.go
+++ b/internal/standin/objects/objects.go
@@ -187,6 +187,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	have := s.objects[key].Version
+	if remove && expect == object.AnyVersion {
+		expect = have
+	}
 	if have != expect {
 		return object.Object{}, &object.ConflictError{Key: key, Want: expect, Have: have}
 	}
@@ -208,6 +211,24 @@
 	return stored, nil
 }
 
+// PageSize is the number of objects in a page of Page.
+const PageSize = 2
+
+// Page returns up to PageSize objects under a prefix that follow a key, ordered by key.
+func (s *Store) Page(ctx context.Context, prefix, after string) (page []object.Object, more bool, err error) {
+	batch, err := s.List(ctx, prefix)
+	for _, o := range batch.Objects {
+		if o.Key <= after {
+			continue
+		}
+		if len(page) == PageSize {
+			return page, true, err
+		}
+		page = append(page, o)
+	}
+	return page, false, err
+}
+
 // Keys returns the keys under a prefix in sorted order.
 func (s *Store) Keys(prefix string) []string {
 	s.mu.Lock()
--- a/review/_stand/case_history.go
+++ b/review/_stand/case_history.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sort"
 	"syscall"
@@ -79,7 +80,9 @@
 			return nil, fmt.Errorf("host %s does not stop", h.Name)
 		}
 	}
-	site.Store.repeat("hyssopwall-batches", record, historyBatches())
+	if err := site.Store.repeat("hyssopwall-batches", record, historyBatches()); err != nil {
+		return nil, err
+	}
 	rec.logf("%d batch jobs were ended before, as this one was", historyBatches())
 
 	ends := map[*Host]int{}
@@ -114,16 +117,32 @@
 	return nil, nil
 }
 
-// repeat adds copies of an object under other names.
-func (s *Store) repeat(kind string, spec json.RawMessage, copies int) {
+// repeat adds copies of the record of a batch under other names. Each was submitted by one of the
+// trainers four seconds before the next, the last one just now.
+func (s *Store) repeat(kind string, spec json.RawMessage, copies int) error {
+	var text string
+	var record map[string]any
+	if err := errors.Join(json.Unmarshal(spec, &text), json.Unmarshal([]byte(text), &record)); err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.kind(kind)
-	for range copies {
+	now := time.Now()
+	for i := range copies {
+		record["submitted"] = now.Add(-time.Duration(i/trainers) * 4 * time.Second).UnixMilli()
+		raw, err := json.Marshal(record)
+		if err != nil {
+			return err
+		}
+		if raw, err = json.Marshal(string(raw)); err != nil {
+			return err
+		}
 		s.revision++
 		name := randomID()
-		k.objects[name] = &object{Metadata: metadata{Name: name, Revision: s.revision, Created: s.revision, Finalizers: []string{}}, Spec: spec}
+		k.objects[name] = &object{Metadata: metadata{Name: name, Revision: s.revision, Created: s.revision, Finalizers: []string{}}, Spec: raw}
 		k.names = append(k.names, name)
 	}
 	sort.Strings(k.names)
+	return nil
 }
