Give the reserve of callers' memory back, and count chunked bodies by what they have

A complete request of ordinary size that had got the reserve kept it until it was answered, so that a body of the largest size was refused meanwhile. A chunked body counted as of the largest size until it was whole, and as many others were refused for it as such a body would need.

--- a/internal/entry/intake/budget.go
+++ b/internal/entry/intake/budget.go
@@ -58,7 +58,7 @@
 	delivered atomic.Int64 // bytes received from the caller, or accepted by it
 
 	// Guarded by the budget's mutex.
-	size         int64 // bytes of the whole request
+	size         int64 // bytes of the whole request; zero if unknown, see rank
 	need         int64 // bytes that the request still has to deliver
 	charged      int64
 	sampled      int64 // value of delivered at sampledAt
@@ -84,10 +84,12 @@
 	b.limits = limits
 }
 
-// Open returns a new claim of a request that will deliver about need bytes.
+// Open returns a new claim of a request that will deliver about need bytes, negative if its length
+// is unknown.
 func (b *Budget) Open(now time.Time, caller Caller, need int64, evict func()) *Claim {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	need = max(0, need)
 	c := &Claim{Caller: caller, Evict: evict, budget: b, size: need, need: need, sampledAt: now}
 	if b.claims == nil {
 		b.claims, b.byKey, b.byAddr = map[*Claim]bool{}, map[string]int64{}, map[string]int64{}
@@ -160,9 +162,24 @@
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
 	c.busy = c.reason == ""
+	c.budget.freeReserve()
 	return c.busy
 }
 
+// rank returns the size by which waiting claims are ordered. A request of unknown length counts by
+// what it has and waits for: counted as one of the largest, honest ones would give way to each
+// other although they fit.
+func (c *Claim) rank() int64 { return cmp.Or(c.size, c.charged+c.wants) }
+
+// freeReserve moves a complete request that holds the reserve into the shared part once it fits, so
+// that a small one doesn't keep the reserve from the largest until it is answered.
+func (b *Budget) freeReserve() {
+	if c := b.reserve; c != nil && c.busy && b.used+c.charged <= b.limits.Shared {
+		b.used += c.charged
+		b.reserve = nil
+	}
+}
+
 // Close ends the claim and releases what it has.
 func (c *Claim) Close(now time.Time) {
 	b := c.budget
@@ -222,7 +239,10 @@
 // equal ones those that have the least, so that neither a small request nor a slow sender waits
 // for large ones. The first one that doesn't fit gets the reserve.
 func (b *Budget) dispatch(now time.Time) {
-	slices.SortStableFunc(b.waiting, func(x, y *Claim) int { return cmp.Or(cmp.Compare(x.size, y.size), cmp.Compare(x.charged, y.charged)) })
+	b.freeReserve()
+	slices.SortStableFunc(b.waiting, func(x, y *Claim) int {
+		return cmp.Or(cmp.Compare(x.rank(), y.rank()), cmp.Compare(x.charged, y.charged))
+	})
 	for len(b.waiting) > 0 {
 		c := b.waiting[0]
 		if b.used+c.wants > b.limits.Shared {
--- a/internal/entry/intake/evict.go
+++ b/internal/entry/intake/evict.go
@@ -106,7 +106,7 @@
 		}
 	}
 	slices.SortStableFunc(others, func(x, y *Claim) int {
-		return cmp.Or(cmp.Compare(above(y), above(x)), cmp.Compare(y.size, x.size), cmp.Compare(y.charged, x.charged))
+		return cmp.Or(cmp.Compare(above(y), above(x)), cmp.Compare(y.rank(), x.rank()), cmp.Compare(y.charged, x.charged))
 	})
 	return others
 }
--- a/internal/entry/intake/intake_test.go
+++ b/internal/entry/intake/intake_test.go
@@ -38,7 +38,7 @@
 	At       int64
 	Claim    string
 	Key      string
-	Open     int64 // what the claim will deliver
+	Open     int64 // what the claim will deliver, negative if unknown
 	Grow     int64
 	Granted  bool
 	Force    int64
@@ -63,7 +63,7 @@
 	for i, step := range s.Steps {
 		now := start.Add(time.Duration(step.At) * time.Millisecond)
 		note := fmt.Sprintf("step %d at %d ms", i+1, step.At)
-		if step.Open > 0 {
+		if step.Open != 0 {
 			c := budget.Open(now, intake.Caller{Key: step.Key, Address: "a"}, step.Open<<10, func() {})
 			claims[step.Claim], names[c] = c, step.Claim
 		}
@@ -188,6 +188,35 @@
 		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 	})
 
+	// Guards against a chunked body that counts as of the largest size, so that more others are
+	// refused for it than it needs.
+	It("refuses as few others for a chunked body as it has bytes", func(ctx SpecContext) {
+		budget, evicted := &intake.Budget{}, 0
+		budget.SetLimits(limits(200))
+		open := func(need int64) (c *intake.Claim) {
+			c = budget.Open(time.Now(), intake.Caller{}, need<<10, func() {
+				evicted++
+				c.Close(time.Now())
+			})
+			return c
+		}
+		reserved, waiting := open(400), []*intake.Claim{open(150), open(150)}
+		for _, c := range waiting {
+			Expect(c.Grow(time.Now(), 100<<10)).To(BeTrue())
+		}
+		Expect(reserved.Grow(time.Now(), 100<<10)).To(BeTrue())
+		for _, c := range waiting {
+			Expect(c.Grow(time.Now(), 50<<10)).To(BeFalse())
+		}
+		data := bytes.Repeat([]byte("x"), 70<<10)
+		got, err := intake.ReadBody(ctx, chunked{bytes.NewReader(data)}, -1, 120<<10, func(need int64) *intake.Claim {
+			return budget.Open(time.Now(), intake.Caller{}, need, func() {})
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(HaveLen(len(data)))
+		Expect(evicted).To(Equal(1))
+	}, SpecTimeout(10*time.Second))
+
 	It("lets the largest body use the reserve", func() {
 		data, _, err := read(make([]byte, 1<<20), -1, 1<<20, 64)
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/entry/intake/read.go
+++ b/internal/entry/intake/read.go
@@ -84,9 +84,9 @@
 
 // ReadBody reads a body of at most limit bytes and of the given length, which is negative if
 // unknown. Only what has arrived takes memory. open returns the claim of the request; it is
-// called when the body exceeds FreeBytes. The error is a *RefusedError, a *TooLargeError or
+// called with the length when the body exceeds FreeBytes. The error is a *RefusedError, a *TooLargeError or
 // an error of the body.
-func ReadBody(ctx context.Context, body io.Reader, length, limit int64, open func(need int64) *Claim) ([]byte, error) {
+func ReadBody(ctx context.Context, body io.Reader, length, limit int64, open func(length int64) *Claim) ([]byte, error) {
 	if length > limit {
 		return nil, &TooLargeError{Limit: limit}
 	}
@@ -102,11 +102,7 @@
 	if len(first) < FreeBytes {
 		return first, checkLength(int64(len(first)), length)
 	}
-	need := limit
-	if length >= 0 {
-		need = length
-	}
-	return readCharged(ctx, body, first, length, limit, open(need))
+	return readCharged(ctx, body, first, length, limit, open(length))
 }
 
 // readCharged reads the rest of a body in segments that are charged to a claim.
