Start nothing once a host stops, and replace owners when more than 32 are silent

startWorker could add to the group that Run already waited for: a worker then went on after the host had stopped.

A round of pings to more than 32 owners takes several timeouts, which counted as a stall of the pinging host, so that no silent owner was ever replaced.

--- a/internal/rollout/batch/batches.go
+++ b/internal/rollout/batch/batches.go
@@ -203,6 +203,7 @@
 	ratios      map[string]*eventRatio   // by service
 	assigner    assigner
 	draining    bool
+	stopped     bool           // Run waits for the group or has ended
 	openBytes   int64          // size of the batches in active
 	group       sync.WaitGroup // workers, notifications and retries of ends
 }
@@ -235,9 +236,26 @@
 		b.group.Go(func() { b.sendCopies(ctx) })
 	}
 	b.watchOwners(ctx)
+	b.mu.Lock()
+	b.stopped = true
+	b.mu.Unlock()
 	b.group.Wait()
 }
 
+// start runs a function in a goroutine that Run waits for. After the end of Run it does nothing.
+func (b *Batches) start(do func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.startLocked(do)
+}
+
+// startLocked is start for a caller that holds the lock.
+func (b *Batches) startLocked(do func()) {
+	if !b.stopped {
+		b.group.Go(do)
+	}
+}
+
 // initMaps makes the zero value usable; the caller holds the lock.
 func (b *Batches) initMaps() {
 	if b.known == nil {
--- a/internal/rollout/batch/commands.go
+++ b/internal/rollout/batch/commands.go
@@ -139,7 +139,7 @@
 func (b *Batches) startWorker(batch Batch, record Record, previous process, log []Result, chunks int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.workers[batch.ID] != nil || b.draining || b.ctx == nil {
+	if b.workers[batch.ID] != nil || b.draining || b.stopped || b.ctx == nil {
 		return
 	}
 	if k := b.known[batch.ID]; k.Ended || k.Epoch > record.Epoch {
@@ -153,7 +153,7 @@
 	b.active[w] = true
 	size := batch.size()
 	b.openBytes += size
-	b.group.Go(func() {
+	b.startLocked(func() {
 		w.run(ctx)
 		if w.remaining() == 0 {
 			w.releaseBodies()
@@ -182,7 +182,7 @@
 	if err == nil || isError[*NotFoundError](err) {
 		return err
 	}
-	b.group.Go(func() { b.retryEnd(background, id, workspace) })
+	b.start(func() { b.retryEnd(background, id, workspace) })
 	return &OutcomeUnknownError{Err: err}
 }
 
--- a/internal/rollout/batch/home.go
+++ b/internal/rollout/batch/home.go
@@ -64,7 +64,7 @@
 	b.mu.Lock()
 	background := b.ctx
 	b.mu.Unlock()
-	b.group.Go(func() {
+	b.start(func() {
 		ctx, cancel := context.WithTimeout(background, limit)
 		defer cancel()
 		if err := call(ctx); err != nil {
--- a/internal/rollout/batch/rank.go
+++ b/internal/rollout/batch/rank.go
@@ -88,6 +88,13 @@
 	stallMargin   time.Duration // by how much pings may exceed their timeout and still count; 0 for any time
 }
 
+// roundTimeout returns the longest time of a round of pings on a host that does not stand still. More
+// owners than parallelPings are pinged one after the other.
+func (w ownerWatch) roundTimeout(owners int) time.Duration {
+	waves := max(1, (owners+w.parallelPings-1)/w.parallelPings)
+	return time.Duration(waves)*w.pingTimeout + w.stallMargin
+}
+
 // Limits of the watch over owners that tolerates the loss of zones. A silent owner has to
 // be replaced 1.5 s after its last answer. Three pings in a row time out 1.25 s after it at
 // the latest, which leaves a quarter of a second for the takeover. An owner that answers
--- a/internal/rollout/batch/rank_test.go
+++ b/internal/rollout/batch/rank_test.go
@@ -46,6 +46,15 @@
 	Expect(succession(ranked, "owner", "previous")).To(Equal([]string{"b1", "a1", "previous", "gone1", "gone2"}))
 })
 
+// Guards against silent owners that are never replaced: with more than 32 of them, a round of pings
+// took longer than one timeout, which counted as a stall of the host that pings.
+var _ = It("allows a round of pings the time of all its waves", func() {
+	watch := (&Batches{ToleratedZones: 1}).ownerWatch()
+	Expect(watch.roundTimeout(0)).To(Equal(480 * time.Millisecond))
+	Expect(watch.roundTimeout(32)).To(Equal(480 * time.Millisecond))
+	Expect(watch.roundTimeout(33)).To(Equal(810 * time.Millisecond))
+})
+
 // Guards against a changed watch over owners on sites that do not ask for it.
 var _ = It("watches owners as before without tolerated zones", func() {
 	b := &Batches{}
--- a/internal/rollout/batch/takeover.go
+++ b/internal/rollout/batch/takeover.go
@@ -64,7 +64,7 @@
 				attempts.end(id, b.takeOver(ctx, id, k))
 				continue
 			}
-			b.group.Go(func() { // so that a call to the store that hangs delays no ping
+			b.start(func() { // so that a call to the store that hangs delays no ping
 				lost := b.checkPath(ctx, id, k) && !b.answersNow(ctx, watch, k)
 				complete := false
 				if lost {
@@ -153,7 +153,7 @@
 	began := time.Now()
 	statuses := b.pingAll(ctx, watch, slices.Collect(maps.Keys(watched)))
 	// If this host stood still, a missing answer says nothing about the owner.
-	stalled := watch.stallMargin > 0 && time.Since(began) > watch.pingTimeout+watch.stallMargin
+	stalled := watch.stallMargin > 0 && time.Since(began) > watch.roundTimeout(len(watched))
 	for owner, status := range statuses {
 		for _, incarnation := range watched[owner] {
 			if status.Healthy && status.Incarnation == incarnation {
