--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -114,15 +114,15 @@
 }
 
 func (p peers) Rank(key string, without ...string) int {
-	return p.Directory.RankAnswering(key, without...)
+	return p.RankAnswering(key, without...)
 }
 
 func (p peers) First(key string, count int) []string {
-	return p.Directory.FirstAnswering(key, count)
+	return p.FirstAnswering(key, count)
 }
 
 func (p peers) Ranked(key string) []batch.RankedHost {
-	hosts, answering := p.Directory.RankedAnswering(key)
+	hosts, answering := p.RankedAnswering(key)
 	ranked := make([]batch.RankedHost, len(hosts))
 	for i, h := range hosts {
 		ranked[i] = batch.RankedHost{Name: h.Name, Zone: h.Zone, Silent: i >= answering}
