Keep the rank for the takeover of a batch until hosts or its owner change

The number by which a kept rank is checked changes with the list of hosts and when a host stops or begins to answer.

--- a/internal/fleet/peer/silence.go
+++ b/internal/fleet/peer/silence.go
@@ -65,9 +65,31 @@
 		c = &contact{}
 		d.contacts[host] = c
 	}
+	wasSilent := c.silentFor() > 0
 	c.record(at, answered)
+	if silent := c.silentFor() > 0; silent != wasSilent {
+		d.flips++
+	}
+	if answered {
+		d.answered = at
+	}
+}
+
+// RankRevision returns a number that differs from an earlier one if RankAnswering or RankedAnswering
+// may have changed, so that callers can keep what they derive from them.
+func (d *Directory) RankRevision(now time.Time) uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	revision := 2 * (d.changes + d.flips)
+	if d.hears(now) {
+		revision++
+	}
+	return revision
 }
 
+// hears reports whether a host has answered this one lately. The caller holds the lock.
+func (d *Directory) hears(now time.Time) bool { return now.Sub(d.answered) < hearingTime }
+
 // Silent returns the hosts that have stopped answering this host's calls. It returns none
 // while no host answers.
 func (d *Directory) Silent(now time.Time) []string {
@@ -78,16 +100,14 @@
 
 // silent is Silent for a caller that holds the lock.
 func (d *Directory) silent(now time.Time) []string {
+	if !d.hears(now) {
+		return nil
+	}
 	var names []string
-	hears := false
 	for name, c := range d.contacts {
 		if c.silentFor() > 0 {
 			names = append(names, name)
 		}
-		hears = hears || now.Sub(c.answered) < hearingTime
-	}
-	if !hears {
-		return nil
 	}
 	slices.Sort(names)
 	return names
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -121,6 +121,8 @@
 	return p.FirstAnswering(key, count)
 }
 
+func (p peers) RankRevision() uint64 { return p.Directory.RankRevision(time.Now()) }
+
 func (p peers) Ranked(key string) []batch.RankedHost {
 	hosts, answering := p.RankedAnswering(key)
 	ranked := make([]batch.RankedHost, len(hosts))
--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -48,6 +48,7 @@
 	partialsDelay time.Duration   // before a request for partial results is answered
 	noPartials    map[string]bool // hosts that never answer a request for partial results
 	zones         zones
+	rankReads     uint64
 	silence       *silence.Watch       // of hosts that are started from now on
 	configure     func(*batch.Batches) // applied to a host before it starts
 }
@@ -131,6 +132,14 @@
 
 var errDead = fmt.Errorf("host is dead")
 
+// RankRevision returns another number each time, since hosts come and go.
+func (p *peers) RankRevision() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rankReads++
+	return p.rankReads
+}
+
 func (p *peers) Rank(_ string, without ...string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/rollout/batch/batches.go
+++ b/internal/rollout/batch/batches.go
@@ -65,6 +65,8 @@
 	Rank(key string, without ...string) int
 	// Ranked returns all hosts of the site, this one included, in the order of Rank.
 	Ranked(key string) []RankedHost
+	// RankRevision returns a number that differs from an earlier one if Ranked may have changed.
+	RankRevision() uint64
 	// Read calls ServeRead on a host.
 	Read(ctx context.Context, host string, request ReadRequest) (ReadReply, error)
 	// Body calls ServeBody on a host.
@@ -199,6 +201,7 @@
 	partials    map[string]storedPartial // by item, of generations that have stopped here
 	copies      map[string]*batchCopy    // by batch, of batches that have this host as their standby
 	copiesSize  int                      // estimated memory of copies in bytes
+	ranks       map[string]takeoverRank  // by batch
 	late        map[string]bool          // ended batches that ran here and were late, by batch
 	ratios      map[string]*eventRatio   // by service
 	assigner    assigner
@@ -268,6 +271,7 @@
 		b.partials = map[string]storedPartial{}
 		b.copies = map[string]*batchCopy{}
 		b.late = map[string]bool{}
+		b.ranks = map[string]takeoverRank{}
 		b.ratios = map[string]*eventRatio{}
 	}
 }
@@ -349,6 +353,7 @@
 	defer b.mu.Unlock()
 	delete(b.known, id)
 	delete(b.late, id)
+	delete(b.ranks, id)
 	delete(b.logs, id)
 	delete(b.chunks, id)
 	delete(b.logComplete, id)
--- a/internal/rollout/batch/rank.go
+++ b/internal/rollout/batch/rank.go
@@ -50,6 +50,31 @@
 	if b.ToleratedZones <= 0 {
 		return b.rank(id, k.Record, k.Owner, k.PreviousOwner)
 	}
+	revision := b.Peers.RankRevision()
+	b.mu.Lock()
+	kept, ok := b.ranks[id]
+	b.mu.Unlock()
+	if ok && kept.revision == revision && kept.epoch == k.Epoch {
+		return kept.rank
+	}
+	rank := b.computeTakeoverRank(id, k)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.initMaps()
+	b.ranks[id] = takeoverRank{revision, k.Epoch, rank}
+	return rank
+}
+
+// takeoverRank is the rank of this host for a batch at an epoch, as long as the hosts are those of a
+// revision. It is asked for several times a second for each open batch, and sorting the hosts of a
+// large site takes 0.1 ms.
+type takeoverRank struct {
+	revision, epoch uint64
+	rank            int
+}
+
+// computeTakeoverRank is takeoverRank for a batch whose rank isn't kept.
+func (b *Batches) computeTakeoverRank(id string, k known) int {
 	owner, previousOwner := k.Owner, k.PreviousOwner
 	if owner == "" {
 		owner, previousOwner = k.PreviousOwner, ""
--- a/internal/rollout/batch/rank_test.go
+++ b/internal/rollout/batch/rank_test.go
@@ -46,6 +46,43 @@
 	Expect(succession(ranked, "owner", "previous")).To(Equal([]string{"b1", "a1", "previous", "gone1", "gone2"}))
 })
 
+// countedPeers is a site of many hosts that counts how often they are sorted.
+type countedPeers struct {
+	Peers
+	revision uint64
+	sorted   int
+}
+
+func (p *countedPeers) RankRevision() uint64 { return p.revision }
+
+func (p *countedPeers) Ranked(string) []RankedHost {
+	p.sorted++
+	ranked := make([]RankedHost, 390)
+	for i := range ranked {
+		ranked[i] = RankedHost{Name: fmt.Sprint(i), Zone: fmt.Sprint(i % 14), Silent: p.revision > 1 && i == 0}
+	}
+	return ranked
+}
+
+// Load: each host of a large site asks for its rank four times a second for each open batch. Guards
+// against hosts that are sorted each time, and against a rank that stays when hosts change.
+var _ = It("keeps the rank for a batch until the hosts or its owner change", func() {
+	site := &countedPeers{revision: 1}
+	b := &Batches{Host: "1", ToleratedZones: 1, Peers: site}
+	k := known{Record: Record{Owner: "15", Epoch: 1}}
+	for range 100 {
+		Expect(b.takeoverRank("one", k)).To(Equal(362), "in the zone of the owner")
+	}
+	Expect(site.sorted).To(Equal(1))
+	k.Owner, k.Epoch = "14", 2
+	Expect(b.takeoverRank("one", k)).To(Equal(0), "in another zone, after those of the owner")
+	site.revision = 2
+	Expect(b.takeoverRank("one", k)).To(Equal(0))
+	Expect(site.sorted).To(Equal(3))
+	b.remove("one")
+	Expect(b.ranks).To(BeEmpty())
+})
+
 // Guards against silent owners that are never replaced: with more than 32 of them, a round of pings
 // took longer than one timeout, which counted as a stall of the host that pings.
 var _ = It("allows a round of pings the time of all its waves", func() {
--- a/internal/rollout/batch/stopping_test.go
+++ b/internal/rollout/batch/stopping_test.go
@@ -42,6 +42,7 @@
 type alone struct{ Peers }
 
 func (alone) First(string, int) []string                { return []string{"h"} }
+func (alone) RankRevision() uint64                      { return 0 }
 func (alone) Rank(string, ...string) int                { return 0 }
 func (alone) Ranked(string) []RankedHost                { return nil }
 func (alone) End(context.Context, string, string) error { return nil }
