Count requests on kept connections as connected to a server

The first requests of a burst took the idle connections, and the next ones counted as without a connection, so that each step began with health checks.

--- a/internal/backend/pool/commands.go
+++ b/internal/backend/pool/commands.go
@@ -233,6 +233,9 @@
 			if c.counted {
 				e.answering--
 			}
+			if c.reuses {
+				e.reusing--
+			}
 			c.unselect(e)
 			if c.keepConnection {
 				e.idleConnections++
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -134,6 +134,7 @@
 	Server
 	ownRequests     int // requests of this host in flight
 	answering       int // those of them that the server has begun to answer
+	reusing         int // those of them that took an idle connection
 	reported        Load
 	reportedAt      time.Time
 	ownAtReport     int       // ownRequests at the time of the report
@@ -162,6 +163,7 @@
 	sent           bool // Check has succeeded
 	sentAt         time.Time
 	counted        bool // an answer has been counted
+	reuses         bool // the request takes an idle connection
 	limit          int  // requests at which the server's window ends
 }
 
@@ -279,11 +281,15 @@
 		return nil, false
 	}
 	best.ownRequests++
-	best.idleConnections = max(0, best.idleConnections-1)
+	reuses := best.idleConnections > 0
+	if reuses {
+		best.idleConnections--
+		best.reusing++
+	}
 	best.connectionUsed = now
 	best.addPrefix(now, need.Prefix)
 	best.warmUp.Select()
-	return &Choice{Server: best.Server, pool: p, selected: true, limit: best.slots() + need.QueueAllowance}, true
+	return &Choice{Server: best.Server, pool: p, selected: true, reuses: reuses, limit: best.slots() + need.QueueAllowance}, true
 }
 
 // cost returns the load per slot of a server less its bonuses (rules 2 to 4 and 6).
--- a/internal/backend/pool/warmup.go
+++ b/internal/backend/pool/warmup.go
@@ -178,7 +178,7 @@
 func (p *Pool) view(e *entry) warmup.View {
 	view := warmup.View{
 		Rank: func() int { return p.rank(e.Server) }, Since: p.evacuations.ended[e.Zone],
-		Connected: e.answering > 0 || e.idleConnections > 0,
+		Connected: e.answering > 0 || e.idleConnections > 0 || e.reusing > 0,
 	}
 	if p.Hooks.ViewAge != nil {
 		view.Age = p.Hooks.ViewAge()
--- a/internal/backend/warmup/warmup.go
+++ b/internal/backend/warmup/warmup.go
@@ -180,8 +180,8 @@
 	case s.IsCold(now, r, v):
 		return Decision{Send: !stale && count < r.Share() && v.Rank() == 0} // rules 1 and 2
 	case s.IsSilent(now, v):
-		// A second request before the first answer is the start of a burst.
-		return Decision{Send: count < max(1, r.Share()/2), Check: count > 0 && checkDue} // rule 4
+		send := count < max(1, r.Share()/2)
+		return Decision{Send: send, Check: !send && checkDue} // rule 4
 	}
 	return Decision{Send: true}
 }
