--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -76,8 +76,8 @@
 	changes    uint64            // number of changes of hosts
 	cachedRole *watchRole        // nil before its first use and after a change
 	contacts   map[string]*contact
-	flips      uint64    // number of hosts that became silent or answered again
-	answered   time.Time // of the latest call that was answered
+	flips      uint64        // number of hosts that became silent or answered again
+	answered   time.Time     // of the latest call that was answered
 	registered uint64        // version of this host's object, zero before it is written
 	absent     chan struct{} // holds a value if the object was found missing; see KeepRegistered
 }
--- a/internal/host/node/stop.go
+++ b/internal/host/node/stop.go
@@ -55,8 +55,9 @@
 	n.Directory.Unregister(unregisterCtx, n.store) // a host that starts again registers again
 }
 
-// unregisterTimeout bounds the last call to the store of a planned stop.
-const unregisterTimeout = 300 * time.Millisecond
+// unregisterTimeout bounds the last call to the store of a planned stop. It is a part of the time that is
+// left for the exit of the process.
+const unregisterTimeout = 150 * time.Millisecond
 
 // workLeft returns the time until a stopping host ends its work, at least zero.
 func (n *Node) workLeft() time.Duration {
