Go on with the removal of ended batches after a failure, and repeat it soon

A failed call ended the reading of all records for four hours, and one batch that can't be removed kept all that follow it from being removed.

--- a/internal/rollout/batch/expire.go
+++ b/internal/rollout/batch/expire.go
@@ -31,15 +31,18 @@
 	forgetMargin = 5 * time.Minute
 	// removalInterval is the interval at which expired batches in memory are removed.
 	removalInterval = 5 * time.Second
-	// firstScan is how long a host holds the duty before it reads all records, and scanInterval
-	// the time between two such readings.
+	// firstScan is how long a host holds the duty before it reads all records, or the time after a
+	// reading that failed, and scanInterval the time between two complete readings.
 	firstScan    = time.Minute
 	scanInterval = 4 * time.Hour
 	// removalPause is the pause between two calls that remove an object: 20 calls a second, a
 	// fraction of what the smallest store takes. A step every four seconds needs two a second.
 	removalPause = 50 * time.Millisecond
 	// limitPause is the pause after the store has refused a call or can't be reached.
-	limitPause = 2 * time.Second
+	limitPause = 500 * time.Millisecond
+	// maxScanFailures is the number of removals in a row that may fail before a reading of all
+	// records ends.
+	maxScanFailures = 3
 )
 
 // IsExpired reports whether a batch has expired (rule 1). A retention of zero keeps batches.
@@ -111,8 +114,11 @@
 			}
 		}
 		if now.After(nextScan) {
-			nextScan = now.Add(scanInterval)
-			b.scan(ctx, mayRemove)
+			wait := scanInterval
+			if !b.scan(ctx, mayRemove) {
+				wait = firstScan
+			}
+			nextScan = time.Now().Add(wait)
 		}
 	}
 }
@@ -130,15 +136,16 @@
 	return found
 }
 
-// scan reads all records and removes the expired ones (rule 4). It ends at the first error: the
-// next scan goes on.
-func (b *Batches) scan(ctx context.Context, mayRemove func() bool) {
-	after, removed := "", 0
-	defer func() { b.Log.Emit(event.BatchesScanned, "done", removed) }()
-	for {
+// scan reads all records and removes the expired ones (rule 4). It passes over a batch whose removal
+// fails, and ends early after maxScanFailures in a row. It returns whether it has come to the end
+// without a failure.
+func (b *Batches) scan(ctx context.Context, mayRemove func() bool) (complete bool) {
+	after, removed, failed, failures := "", 0, 0, 0
+	defer func() { b.Log.Emit(event.BatchesScanned, "done", removed, "fails", failed) }()
+	for mayRemove() {
 		page, more, err := b.Pages.Page(ctx, RecordPrefix, after)
-		if err != nil || len(page) == 0 {
-			return
+		if err != nil {
+			return false
 		}
 		now := time.Now()
 		for _, o := range page {
@@ -146,16 +153,22 @@
 			if err != nil || !record.endedBefore(now, b.Retention, expiryMargin+removalMargin) {
 				continue
 			}
-			if !mayRemove() || !b.removeStored(ctx, o.Key[len(RecordPrefix):], record, o.Version) {
-				return
+			if !mayRemove() || failures == maxScanFailures {
+				return false
+			}
+			if b.removeStored(ctx, o.Key[len(RecordPrefix):], record, o.Version) {
+				removed, failures = removed+1, 0
+				continue
 			}
-			removed++
+			failed, failures = failed+1, failures+1
+			pause(ctx, limitPause)
 		}
-		if !more {
-			return
+		if !more || len(page) == 0 {
+			return failed == 0
 		}
 		after = page[len(page)-1].Key
 	}
+	return false
 }
 
 // removeStored removes the objects of a batch from the store, the record last. It reports whether
--- a/internal/rollout/batch/expire_test.go
+++ b/internal/rollout/batch/expire_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -51,7 +52,7 @@
 	always := func() bool { return true }
 
 	It("are removed by a reading of all records, those of other batches stay", func(ctx SpecContext) {
-		host.scan(ctx, always)
+		Expect(host.scan(ctx, always)).To(BeTrue())
 		for _, key := range store.Keys("") {
 			Expect(key).NotTo(ContainSubstring("old"))
 		}
@@ -71,18 +72,30 @@
 				}
 				return objects.None
 			}
-			host.scan(ctx, always)
+			Expect(host.scan(ctx, always)).To(Equal(deletes <= failing), "a failure has to be repeated soon")
 			store.Before = nil
 			if len(store.Keys(BodyPrefix+"old"))+len(store.Keys(LogPrefix+"old")) > 0 {
 				Expect(store.Keys(RecordPrefix + "old")).NotTo(BeEmpty())
 			}
 		}
-		host.scan(ctx, always)
+		Expect(host.scan(ctx, always)).To(BeTrue())
 		Expect(store.Keys("")).To(HaveLen(2 * (2 + 3 + 1)))
 	})
 
+	It("are removed although another batch can't be", func(ctx SpecContext) {
+		storeBatch(store, "earlier", Record{Ended: true, Submitted: 1}, 1)
+		store.Before = func(op, key string) objects.Fault {
+			if op == "delete" && strings.Contains(key, "earlier") {
+				return objects.Down
+			}
+			return objects.None
+		}
+		Expect(host.scan(ctx, always)).To(BeFalse())
+		Expect(store.Keys(RecordPrefix)).To(ConsistOf(RecordPrefix+"earlier", RecordPrefix+"open", RecordPrefix+"recent"))
+	})
+
 	It("are not removed by a host that loses the duty", func(ctx SpecContext) {
-		host.scan(ctx, func() bool { return false })
+		Expect(host.scan(ctx, func() bool { return false })).To(BeFalse())
 		Expect(store.Keys("")).To(HaveLen(3 * (2 + 3 + 1)))
 	})
 
