--- a/internal/host/node/reports.go
+++ b/internal/host/node/reports.go
@@ -104,11 +104,12 @@
 	for _, host := range direct {
 		group.Go(func() error { f.call(host, message); return nil })
 	}
-	message.Forward = true
+	forwarded := message
+	forwarded.Forward = true
 	for _, candidates := range relays {
 		group.Go(func() error {
 			for _, host := range candidates {
-				if f.call(host, message) {
+				if f.call(host, forwarded) {
 					break
 				}
 			}
--- a/internal/platform/rest/idle_test.go
+++ b/internal/platform/rest/idle_test.go
@@ -64,10 +64,11 @@
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	defer server.Close()
 	var ends atomic.Int32
-	idle := 10 * time.Second
+	var idle atomic.Int64
+	idle.Store(int64(10 * time.Second))
 	open := func(clients *Clients) {
 		GinkgoHelper()
-		caller := Caller{Base: server.URL, HTTP: clients.Client(), MaxIdle: func() time.Duration { return idle }, OnIdleEnd: func() { ends.Add(1) }}
+		caller := Caller{Base: server.URL, HTTP: clients.Client(), MaxIdle: func() time.Duration { return time.Duration(idle.Load()) }, OnIdleEnd: func() { ends.Add(1) }}
 		response, err := caller.Open(ctx, Call{Method: http.MethodGet, Path: "/"})
 		Expect(err).NotTo(HaveOccurred())
 		_, err = caller.Read(response)
@@ -77,11 +78,11 @@
 	clients := &Clients{}
 	open(clients)
 	clients.Client().CloseIdleConnections()
-	idle = 10 * time.Millisecond
+	idle.Store(int64(10 * time.Millisecond))
 	open(clients)
 	time.Sleep(100 * time.Millisecond)
 	Expect(ends.Load()).To(BeZero())
-	idle = 10 * time.Second
+	idle.Store(int64(10 * time.Second))
 	open(clients)
 	open(clients) // over the same connection
 	server.CloseClientConnections()
