Take a connection that this host has closed for closed

A host closes idle connections after the time that a server announces, often less than 2.5 s, but went on to count them as connected for that long: a server that started again after that could get a burst.

--- a/internal/backend/pool/restart_test.go
+++ b/internal/backend/pool/restart_test.go
@@ -156,15 +156,21 @@
 		choice, ok := p.Pick(now, pool.Need{Service: "s"})
 		Expect(ok && choice.Check() == nil).To(BeTrue())
 		choice.RecordAnswer()
-		if rng.IntN(2) == 0 {
+		kind := rng.IntN(3)
+		if kind < 2 {
 			choice.KeepConnection()
-			connected = append(connected, p)
 		}
 		choice.Release()
+		switch kind {
+		case 0:
+			connected = append(connected, p)
+		case 1: // closed by this host before the server starts again
+			p.RecordIdleEnd(list[0], false)
+		}
 	}
 	now = now.Add(time.Duration(600+rng.IntN(1500)) * time.Millisecond)
 	for _, p := range connected {
-		p.RecordIdleEnd(list[0])
+		p.RecordIdleEnd(list[0], true)
 	}
 	now = now.Add(170 * time.Millisecond)
 	sent := 0
--- a/internal/backend/pool/warmup.go
+++ b/internal/backend/pool/warmup.go
@@ -76,15 +76,22 @@
 	return news
 }
 
-// RecordIdleEnd records that an instance of a server has ended an idle connection, so that its
-// health is checked before the next request if its service has a limit: it may have started again.
-func (p *Pool) RecordIdleEnd(s Server) {
+// RecordIdleEnd records, for a service with a limit, that an idle connection to an instance of a
+// server has ended. If the server has ended it, it may have started again, so that its health is
+// checked before the next request.
+func (p *Pool) RecordIdleEnd(s Server, byServer bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if e := p.current(s.instance()); e != nil && p.warming.rules[s.Service].Apply() {
-		e.idleConnections = 0
-		e.warmUp.RecordFailure(p.now())
+	e := p.current(s.instance())
+	if e == nil || !p.warming.rules[s.Service].Apply() {
+		return
 	}
+	if !byServer {
+		e.idleConnections = max(0, e.idleConnections-1)
+		return
+	}
+	e.idleConnections = 0
+	e.warmUp.RecordFailure(p.now())
 }
 
 // RecordLost records that an instance of a server has refused or ended the connection of a call that
--- a/internal/platform/rest/idle_test.go
+++ b/internal/platform/rest/idle_test.go
@@ -60,15 +60,21 @@
 
 // Guards against a server that starts again unnoticed: its new process has none of the connections
 // of the earlier one, and a host without a request there saw nothing of it.
-var _ = It("tells that a server has ended an idle connection, but not when this end closes it", func(ctx SpecContext) {
+var _ = It("tells whether the server has ended an idle connection or this end", func(ctx SpecContext) {
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	defer server.Close()
-	var ends atomic.Int32
+	var ends, closed atomic.Int32
 	var idle atomic.Int64
 	idle.Store(int64(10 * time.Second))
 	open := func(clients *Clients) {
 		GinkgoHelper()
-		caller := Caller{Base: server.URL, HTTP: clients.Client(), MaxIdle: func() time.Duration { return time.Duration(idle.Load()) }, OnIdleEnd: func() { ends.Add(1) }}
+		caller := Caller{Base: server.URL, HTTP: clients.Client(), MaxIdle: func() time.Duration { return time.Duration(idle.Load()) }, OnIdleEnd: func(byServer bool) {
+			if byServer {
+				ends.Add(1)
+			} else {
+				closed.Add(1)
+			}
+		}}
 		response, err := caller.Open(ctx, Call{Method: http.MethodGet, Path: "/"})
 		Expect(err).NotTo(HaveOccurred())
 		_, err = caller.Read(response)
@@ -80,7 +86,7 @@
 	clients.Client().CloseIdleConnections()
 	idle.Store(int64(10 * time.Millisecond))
 	open(clients)
-	time.Sleep(100 * time.Millisecond)
+	Eventually(closed.Load).Should(BeEquivalentTo(1))
 	Expect(ends.Load()).To(BeZero())
 	idle.Store(int64(10 * time.Second))
 	open(clients)
--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -44,9 +44,9 @@
 	// MaxIdle, if set, returns the time after which an idle connection is closed. A call that
 	// gets one that has been idle for longer is sent over another connection.
 	MaxIdle func() time.Duration
-	// OnIdleEnd, if set, is called when the server ends a connection of a call while it is idle.
-	// It needs MaxIdle.
-	OnIdleEnd func()
+	// OnIdleEnd, if set, is called when a connection of a call ends while it is idle: by the server,
+	// or because it was idle for MaxIdle, which it needs.
+	OnIdleEnd func(byServer bool)
 	// OnResponse, if set, is called with the status and header of each response.
 	OnResponse func(status int, header http.Header)
 	// Memory limits the response bodies that are read. If nil, each body alone is limited
--- a/internal/platform/rest/tracker.go
+++ b/internal/platform/rest/tracker.go
@@ -21,9 +21,9 @@
 	mu          sync.Mutex
 	writes      int
 	sealed      bool
-	beforeWrite func() error // called before the next write, then cleared; may be nil
-	idle        *time.Timer  // closes the connection while it is idle; nil if none is set
-	onIdleEnd   func()       // called if the server ends the idle connection; may be nil
+	beforeWrite func() error        // called before the next write, then cleared; may be nil
+	idle        *time.Timer         // closes the connection while it is idle; nil if none is set
+	onIdleEnd   func(byServer bool) // see Caller.OnIdleEnd; may be nil
 }
 
 // Read reads from the connection. net/http reads from idle connections too, and so notices their
@@ -36,7 +36,7 @@
 	return n, err
 }
 
-// endIdle calls onIdleEnd if the connection is idle.
+// endIdle calls onIdleEnd if the connection, which the server has ended, is idle.
 func (c *countedConn) endIdle() {
 	c.mu.Lock()
 	onIdleEnd := c.onIdleEnd
@@ -46,14 +46,14 @@
 	c.onIdleEnd = nil
 	c.mu.Unlock()
 	if onIdleEnd != nil {
-		onIdleEnd()
+		onIdleEnd(true)
 	}
 }
 
 // closeAfter closes the connection unless it is used within the time that limit returns,
-// which may have grown when that has passed. It calls onIdleEnd, which may be nil, if the server
-// ends the connection before.
-func (c *countedConn) closeAfter(limit func() time.Duration, onIdleEnd func()) {
+// which may have grown when that has passed. It calls onIdleEnd, which may be nil, when the
+// connection ends before it is used.
+func (c *countedConn) closeAfter(limit func() time.Duration, onIdleEnd func(byServer bool)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.onIdleEnd = onIdleEnd
@@ -67,17 +67,26 @@
 // closeIdle closes the connection, which has been idle since the given time, or waits again
 // if the limit has grown from waited. It does nothing if the connection is in use.
 func (c *countedConn) closeIdle(since time.Time, waited time.Duration, limit func() time.Duration) {
+	if onIdleEnd := c.tryCloseIdle(since, waited, limit); onIdleEnd != nil {
+		onIdleEnd(false)
+	}
+}
+
+// tryCloseIdle is closeIdle. It returns the function to call if it has closed the connection.
+func (c *countedConn) tryCloseIdle(since time.Time, waited time.Duration, limit func() time.Duration) (onIdleEnd func(byServer bool)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle == nil {
-		return
+		return nil
 	}
 	if grown := limit(); grown > waited {
 		c.idle = time.AfterFunc(time.Until(since.Add(grown)), func() { c.closeIdle(since, grown, limit) })
-		return
+		return nil
 	}
 	c.sealed = true
 	_ = c.Close() // nobody uses the connection
+	onIdleEnd, c.onIdleEnd = c.onIdleEnd, nil
+	return onIdleEnd
 }
 
 // use stops the timer of closeAfter. A connection that it has closed stays sealed.
@@ -154,7 +163,7 @@
 type tracker struct {
 	check     sendCheck
 	maxIdle   func() time.Duration // see Caller.MaxIdle; may be nil
-	onIdleEnd func()               // see Caller.OnIdleEnd; may be nil
+	onIdleEnd func(byServer bool)  // see Caller.OnIdleEnd; may be nil
 
 	mu       sync.Mutex
 	obtained bool // the request was given a connection
