--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -1,6 +1,7 @@
 // Package peer lets the hosts of a site find and call each other. Each host
 // writes one object with its address to the platform's store at its start. There is no
-// heartbeat, since calls show which hosts answer. The package also relays a host's calls to
+// heartbeat, since calls show which hosts answer; the objects of hosts that are gone are removed
+// (Pruner). The package also relays a host's calls to
 // the store through other hosts (Relay), and distributes the objects of the store from host
 // to host (Mirror, Source).
 package peer
--- a/internal/rollout/batch/batch.go
+++ b/internal/rollout/batch/batch.go
@@ -25,6 +25,8 @@
 //     owner goes on from it under the same conditions as from any partial result.
 //  6. The end of a batch is acknowledged when the record says so. The owner is
 //     notified at once, and also sees it by its watch.
+//  7. With Batches.Retention, the objects of an ended batch are removed some time after its
+//     submission; see expire.go.
 package batch
 
 import (
