--- a/review/_drive/main.go
+++ b/review/_drive/main.go
@@ -14,7 +14,7 @@
 const longest = 115 * time.Second
 
 // cases are the cases by number. Each returns false if it couldn't run.
-var cases = map[string]func(s *site, trouble bool) bool{"killed": killedCase, "many": manyCase, "taken-over": takenOverCase, "outage": outageCase}
+var cases = map[string]func(s *site, trouble bool) bool{"memory": memoryCase, "killed": killedCase, "many": manyCase, "taken-over": takenOverCase, "outage": outageCase}
 
 func main() {
 	name := flag.String("case", "", "the case")
--- a/review/_drive/site.go
+++ b/review/_drive/site.go
@@ -40,6 +40,8 @@
 	samplers    []*sampler
 	config      map[string]any
 	version     int
+	memoryMB    int // of each host
+	hostCount   int
 
 	mu     sync.Mutex
 	record *os.File
@@ -53,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{binary: binary, dir: dir, record: record, began: time.Now(), store: soak.NewStore(1),
+	s := &site{binary: binary, dir: dir, record: record, began: time.Now(), store: soak.NewStore(1), memoryMB: 284, hostCount: 4,
 		network: fmt.Sprintf("127.%d.%d.", 70+os.Getpid()%100, os.Getpid()/100%250)}
 	if s.storeAddr, err = serve("127.0.0.1:0", s.store); err != nil {
 		return nil, err
@@ -128,7 +130,7 @@
 		"zones":          map[string]string{"za": "r", "zb": "r", "zc": "r", "zd": "r"},
 		"listen":         map[string]string{"front": h.address(frontPort), "ready": h.address(readyPort)},
 		"internal_ports": []int{internalPort, internalPort + 15}, "bootstrap": h.bootstrap, "loss_counts": false,
-		"limits":          map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
+		"limits":          map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": h.site.memoryMB, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
 		"heartbeat_ms":    1200,
 		"fault_tolerance": map[string]int{"machines": 1, "zones": 1, "regions": 0},
 		"bounds": map[string]any{
--- a/review/_drive/train.go
+++ b/review/_drive/train.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -49,7 +50,7 @@
 
 // rolloutConfig is a configuration with a rollout route, a route for scorers and a plain one.
 func rolloutConfig() map[string]any {
-	return map[string]any{
+	config := map[string]any{
 		"routes": []any{
 			map[string]any{"name": "roll", "host": "site.example", "path_prefix": "/roll/", "kind": "rollout", "timeout_ms": 10000, "target_latency_ms": 400, "priority": 1, "max_attempts": maxAttempts, "run_deadline_ms": 7500, "item_ttl_s": 40, "service": "llm"},
 			map[string]any{"name": "score", "host": "site.example", "path_prefix": "/score/", "kind": "safe", "timeout_ms": 2000, "target_latency_ms": 400, "priority": 2, "max_attempts": 4, "public": true, "service": "app"},
@@ -61,8 +62,17 @@
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 33554432, "header_timeout_ms": 5000, "idle_timeout_ms": 20000},
 		"tenants": []any{map[string]any{"name": "t1", "api_keys": []string{"key1"}}},
 	}
+	routes := config["routes"].([]any)
+	for _, name := range trainerRoutes {
+		routes = append(routes, map[string]any{"name": name, "host": "site.example", "path_prefix": "/" + name + "/", "kind": "rollout", "timeout_ms": 10000, "target_latency_ms": 400, "priority": 1, "max_attempts": maxAttempts, "run_deadline_ms": 7500, "item_ttl_s": 40, "service": "llm"})
+	}
+	config["routes"] = routes
+	return config
 }
 
+// trainerRoutes are the routes of three trainers.
+var trainerRoutes = []string{"score-mark", "score-alloy", "score-filigree"}
+
 // step is a batch job of a trainer.
 type step struct {
 	site    *site
@@ -70,6 +80,7 @@
 	items   []item
 	desired int
 	must    []string // groups that came again
+	route   string   // "roll" if empty
 	results []result
 	submit  time.Time
 }
@@ -110,7 +121,7 @@
 	t.submit = time.Now()
 	for n := range 20 {
 		h := at(n)
-		got := h.call("POST", "front", "/roll/"+t.id, map[string]string{"Authorization": key, "X-Request-Id": t.id, "Content-Type": "application/json"}, body, 3*time.Second)
+		got := h.call("POST", "front", "/"+cmp.Or(t.route, "roll")+"/"+t.id, map[string]string{"Authorization": key, "X-Request-Id": t.id, "Content-Type": "application/json"}, body, 3*time.Second)
 		t.site.logf("trainer: %s (step %d, %d items, min_version %d, desired %d) at %s: %d %v", t.id, number, len(t.items), minVersion, t.desired, h.name, got.status, got.err)
 		if got.status == http.StatusAccepted {
 			return true
@@ -131,7 +142,10 @@
 		t.site.logf("trainer: read of %s at %s: %d %v", t.id, h.name, got.status, got.err)
 		return
 	}
-	for _, r := range page.Results {
+	if len(page.Results) > 50 {
+		t.site.logf("trainer: %s lists %d results from position %d on", t.id, len(page.Results), len(t.results))
+	}
+	for _, r := range page.Results[:min(len(page.Results), 50)] {
 		t.site.logf("trainer: %s lists %s as %s, %d bytes, versions %v", t.id, r.ID, r.State, len(r.Text), r.Versions)
 	}
 	t.results = append(t.results, page.Results...)
@@ -181,12 +195,13 @@
 	return nil
 }
 
-// rolloutSite starts four hosts in four zones, four engines and two plain samplers.
+// rolloutSite starts hosts in four zones, four engines and two plain samplers.
 func (s *site) rolloutSite(prepare func(m *sampler)) bool {
 	s.config = rolloutConfig()
 	s.writeConfig()
 	zones := []string{"za", "zb", "zc", "zd"}
-	for i, zone := range zones {
+	for i := range s.hostCount {
+		zone := zones[i%len(zones)]
 		if s.addHost(fmt.Sprintf("edge-%s-%d", zone, i), zone).start() != nil {
 			return false
 		}
