--- a/review/_drive/sampler.go
+++ b/review/_drive/sampler.go
@@ -40,8 +40,10 @@
 
 // addSampler starts a sampler and registers it.
 func (s *site) addSampler(service, zone, model string, slots int) *sampler {
-	sm := &sampler{site: s, id: fmt.Sprintf("i-%s-%d", service, len(s.samplers)), service: service, zone: zone, model: model, slots: slots,
-		address: fmt.Sprintf("%s%d:%d", s.network, 100+len(s.samplers), samplerPort), work: 25 * time.Millisecond, restartAfter: 2 * time.Second, eventBytes: 320}
+	sm := &sampler{
+		site: s, id: fmt.Sprintf("i-%s-%d", service, len(s.samplers)), service: service, zone: zone, model: model, slots: slots,
+		address: fmt.Sprintf("%s%d:%d", s.network, 100+len(s.samplers), samplerPort), work: 25 * time.Millisecond, restartAfter: 2 * time.Second, eventBytes: 320,
+	}
 	sm.version.Store(1)
 	s.samplers = append(s.samplers, sm)
 	return sm
@@ -68,8 +70,10 @@
 
 // register writes the entry.
 func (m *sampler) register(state string) {
-	entry := map[string]any{"service": m.service, "address": m.address, "zone": m.zone, "version": "a", "slots": m.slots, "state": state,
-		"cold_remaining_ms": 0, "sequence": 1, "born": m.born}
+	entry := map[string]any{
+		"service": m.service, "address": m.address, "zone": m.zone, "version": "a", "slots": m.slots, "state": state,
+		"cold_remaining_ms": 0, "sequence": 1, "born": m.born,
+	}
 	if m.model != "" {
 		entry["models"] = m.models()
 	}
--- a/review/_drive/site.go
+++ b/review/_drive/site.go
@@ -55,8 +55,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{binary: binary, dir: dir, record: record, began: time.Now(), store: soak.NewStore(1), memoryMB: 284, hostCount: 4,
-		network: fmt.Sprintf("127.%d.%d.", 70+os.Getpid()%100, os.Getpid()/100%250)}
+	s := &site{
+		binary: binary, dir: dir, record: record, began: time.Now(), store: soak.NewStore(1), memoryMB: 284, hostCount: 4,
+		network: fmt.Sprintf("127.%d.%d.", 70+os.Getpid()%100, os.Getpid()/100%250),
+	}
 	if s.storeAddr, err = serve("127.0.0.1:0", s.store); err != nil {
 		return nil, err
 	}
--- a/review/_drive/train.go
+++ b/review/_drive/train.go
@@ -41,9 +41,11 @@
 func group(name string, items ...string) []item {
 	var all []item
 	for _, id := range items {
-		all = append(all, item{ID: id, Path: "/roll/" + id, Body: []byte("prompt of " + id), Tokens: 100, Group: name,
+		all = append(all, item{
+			ID: id, Path: "/roll/" + id, Body: []byte("prompt of " + id), Tokens: 100, Group: name,
 			Headers: map[string]string{"X-Model": model, "X-Token-Usage": "60,400", "X-Prompt-Prefix": fmt.Sprintf("%x:50,%x:10", name, id)},
-			Scorer:  map[string]any{"id": "s-" + id, "host": "site.example", "path": "/score/" + id, "body": []byte("score " + id)}})
+			Scorer:  map[string]any{"id": "s-" + id, "host": "site.example", "path": "/score/" + id, "body": []byte("score " + id)},
+		})
 	}
 	return all
 }
