Take an answer for cut when its connection is reset during the upload

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the kernel reports a reset to one system call. When that was the write of the upload, the next read returned the end of the stream, which is how an answer without a length ends.

A read that finds the end of the stream now waits for the write under way, which it interrupts, and returns a CutError if a write has failed. The write that got the reset has then returned or is under way, so that no order of the two goroutines hides it. A server that ends its answer and then reads the rest of the upload is served as before: no write fails then.

--- a/internal/platform/rest/tracker.go
+++ b/internal/platform/rest/tracker.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"net/http/httptrace"
+	"os"
 	"sync"
 	"time"
 )
@@ -24,18 +26,55 @@
 	beforeWrite func() error        // called before the next write, then cleared; may be nil
 	idle        *time.Timer         // closes the connection while it is idle; nil if none is set
 	onIdleEnd   func(byServer bool) // see Caller.OnIdleEnd; may be nil
+	writing     int                 // writes under way
+	written     *sync.Cond          // signals the end of a write; set while Read waits for it
+	writeErr    error               // of the first write that failed
 }
 
 // Read reads from the connection. net/http reads from idle connections too, and so notices their
-// end.
+// end. After a write that failed it does not return io.EOF, but a *CutError.
 func (c *countedConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	if errors.Is(err, io.EOF) {
+		if failed := c.writeFailure(); failed != nil {
+			err = &CutError{Err: failed}
+		}
+	}
 	if err != nil && !errors.Is(err, net.ErrClosed) { // else this end has closed it
 		c.endIdle()
 	}
 	return n, err
 }
 
+// CutError says that a connection ended while the request was still being written, so that
+// the end of the connection is not the end of the response. Err is that of the write.
+type CutError struct {
+	Err error
+}
+
+func (e *CutError) Error() string { return "connection cut: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *CutError) Unwrap() error { return e.Err }
+
+// writeFailure returns the error of the write that failed because the other end reset the
+// connection, nil if none did. The kernel reports a reset to one call only: if that is a
+// write, the next read returns io.EOF. The write may not have returned yet; since the other
+// end sends nothing more, it is interrupted.
+func (c *countedConn) writeFailure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writing > 0 {
+		_ = c.SetWriteDeadline(time.Now()) // fails only if the connection is closed, which ends the write
+		c.written = sync.NewCond(&c.mu)
+		for c.writing > 0 {
+			c.written.Wait()
+		}
+		c.written = nil
+	}
+	return c.writeErr
+}
+
 // endIdle calls onIdleEnd if the connection, which the server has ended, is idle.
 func (c *countedConn) endIdle() {
 	c.mu.Lock()
@@ -103,7 +142,23 @@
 	if err := c.beginWrite(); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(data)
+	n, err := c.Conn.Write(data)
+	c.endWrite(err)
+	return n, err
+}
+
+// endWrite records the end of a write. A write that this end interrupted is no failure of the
+// connection.
+func (c *countedConn) endWrite(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeErr == nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		c.writeErr = err
+	}
+	c.writing--
+	if c.written != nil {
+		c.written.Broadcast()
+	}
 }
 
 // beginWrite counts a write. It seals the connection and returns the error if beforeWrite
@@ -123,6 +178,7 @@
 		}
 	}
 	c.writes++
+	c.writing++
 	return nil
 }
 
