Refuse answers whose status is not that of a final response

What callers saw: a server in trouble answered with status 000. net/http takes any three digits for a status, so that the answer was passed on as one: the handler panicked on it and the caller's connection ended without an answer. With X-Not-Executed it counted as a refusal, and the request was sent again. Status 101, which nobody asked for, and those above 599 went through to callers.

Cause: nothing between net/http and the users of an answer looked at the range.

Caller.Open returns a MalformedError for them before anything is learned from the head, so that it holds for servers, the store, duties and other hosts. The request may have run: 502, or another attempt where it may be repeated.

--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -98,7 +98,8 @@
 }
 
 // Open makes the call and returns the response once its header has arrived, whatever
-// its status. The caller closes the body. The error is a *LostError.
+// its status. The caller closes the body. The error is a *LostError, which holds a
+// *MalformedError if the response is none in the protocol.
 //
 // A connection that its server closed while it was idle fails before anything
 // is written; Open then retries on another connection.
@@ -112,6 +113,10 @@
 		}
 		response, err := client.Do(request)
 		if err == nil {
+			if err := checkResponse(response); err != nil {
+				_ = response.Body.Close() // not read
+				return nil, &LostError{Sent: true, Err: err}
+			}
 			if c.OnResponse != nil {
 				c.OnResponse(response.StatusCode, response.Header)
 			}
