Refuse answers whose head has a field name that is no token

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank. The caller got it as an answer; where the field was "Content-Length :" or "Transfer-Encoding :", with bytes that were not the server's body. A line that began with a blank became a part of the field before it, such as the signature.

Cause: net/http accepts names with blanks and does not use them, and folds lines before anyone sees them. It also ignores Transfer-Encoding in HTTP/1.0 and prefers it to a length.

What it hides is checked in the bytes of the head, before they reach it: the connection knows when a response is due, and the end of the head from its empty line. Lines without CR, all characters of a token, interim answers and HTTP/1.0 are still taken.

--- a/internal/platform/rest/tracker.go
+++ b/internal/platform/rest/tracker.go
@@ -26,6 +26,7 @@
 	beforeWrite func() error        // called before the next write, then cleared; may be nil
 	idle        *time.Timer         // closes the connection while it is idle; nil if none is set
 	onIdleEnd   func(byServer bool) // see Caller.OnIdleEnd; may be nil
+	head        headCheck           // of the response to the current request
 	writing     int                 // writes under way
 	written     *sync.Cond          // signals the end of a write; set while Read waits for it
 	writeErr    error               // of the first write that failed
@@ -43,6 +44,11 @@
 	if err != nil && !errors.Is(err, net.ErrClosed) { // else this end has closed it
 		c.endIdle()
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if malformed := c.head.check(data[:n]); malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
 
@@ -182,6 +188,13 @@
 	return nil
 }
 
+// expectResponse prepares the check of the head of the response to the next request.
+func (c *countedConn) expectResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.expect()
+}
+
 func (c *countedConn) setBeforeWrite(beforeWrite func() error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -285,6 +298,9 @@
 	t.start = t.conn.writeCount()
 	t.conn.setBeforeWrite(t.check.run)
 	t.conn.use()
+	if _, encrypted := info.Conn.(*tls.Conn); !encrypted {
+		t.conn.expectResponse()
+	}
 	stale := t.maxIdle != nil && info.IdleTime > t.maxIdle()
 	if info.Reused && (stale || unusable(t.conn.Conn)) {
 		// A write since the count above is the closing alert of TLS, not the request,
