Send bodies from the parts in which they arrived

What callers saw: clients that completed large bodies ended a process for its memory.

Cause: the segments of a complete body were joined into a second copy of it, so that a body took twice the size that the budget had charged, until the garbage collector ran. Segments of bodies that broke off were garbage as well, and the next ones allocated others beside them.

Requests carry their body in parts, and rest sends them from there; each call reads its own list, as several may send the same parts. Segments of a body that broke off are used again. Those of a complete one are not: net/http may still write them when the response has arrived.

--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -17,9 +18,9 @@
 	ID          string
 	Host        string // host name that the caller addressed, as in the Host header
 	Method      string
-	Target      string      // path and query, unchanged
-	Header      http.Header // of the caller; the Sender removes keys and connection-specific fields
-	Body        []byte
+	Target      string        // path and query, unchanged
+	Header      http.Header   // of the caller; the Sender removes keys and connection-specific fields
+	Body        net.Buffers   // in parts, which are not changed
 	Workspace   string        // empty for requests of the system itself
 	TimeLeft    time.Duration // sent to the server; zero means that the caller sets no limit, negative that none is left
 	Priority    int           // 0 is the highest; negative sends none
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -218,15 +219,15 @@
 		sender := &servers{answers: []answer{"breaks", "breaks", "breaks", "breaks", "breaks", "breaks"}}
 		f := &forward.Forwarder{Pool: pooled(3), Sender: sender, OnRun: func(string) {}, Suspects: &suspects{}, Log: discard}
 		route := policy.Route{Name: "r", Kind: policy.Safe, Attempts: 3, Targets: []policy.Target{{Service: "s", Weight: 1}}, LatencyTarget: time.Second, Timeout: time.Minute}
-		_, err := f.Do(ctx, route, forward.Request{ID: "x", Target: "/a", Body: []byte("b")})
+		_, err := f.Do(ctx, route, forward.Request{ID: "x", Target: "/a", Body: net.Buffers{[]byte("b")}})
 		Expect(errors.As(err, new(*forward.FailedError))).To(BeTrue())
 		var refused *forward.RefusedError
-		_, err = f.Do(ctx, route, forward.Request{ID: "y", Target: "/a", Body: []byte("b")})
+		_, err = f.Do(ctx, route, forward.Request{ID: "y", Target: "/a", Body: net.Buffers{[]byte("b")}})
 		Expect(errors.As(err, &refused)).To(BeTrue())
 		Expect(refused.RetryAfter).To(BeNumerically("~", time.Second, 100*time.Millisecond), "the first trial")
 		sends, _ := sender.count()
 		Expect(sends).To(Equal(3))
-		_, err = f.Do(ctx, route, forward.Request{ID: "z", Target: "/other", Body: []byte("b")})
+		_, err = f.Do(ctx, route, forward.Request{ID: "z", Target: "/other", Body: net.Buffers{[]byte("b")}})
 		Expect(errors.As(err, &refused)).To(BeFalse(), "another request is sent")
 	})
 
@@ -241,7 +242,7 @@
 		}
 		f := &forward.Forwarder{Pool: servers, Sender: sender, OnRun: func(string) {}, Suspects: counter, Log: discard}
 		route := policy.Route{Name: "r", Kind: policy.Unsafe, Targets: []policy.Target{{Service: "s", Weight: 1}}, LatencyTarget: time.Second}
-		request := forward.Request{ID: "x", Target: "/a", Body: []byte("b"), TimeLeft: 200 * time.Millisecond, Owed: owed}
+		request := forward.Request{ID: "x", Target: "/a", Body: net.Buffers{[]byte("b")}, TimeLeft: 200 * time.Millisecond, Owed: owed}
 		for range 3 {
 			callerCtx, leave := context.WithCancel(ctx)
 			if canceled {
--- a/internal/entry/forward/run.go
+++ b/internal/entry/forward/run.go
@@ -95,7 +95,7 @@
 	r := &run{
 		Forwarder: f, route: route, request: request, budget: budget, delay: delay,
 		service:     route.ChooseService(rand.Float64()),
-		fingerprint: poison.FingerprintOf(request.Workspace, request.Host+request.Target, request.Body),
+		fingerprint: poison.FingerprintOf(request.Workspace, request.Host+request.Target, request.Body...),
 		started:     time.Now(), timeAllowed: timeLeft, deadline: f.now() + timeLeft,
 		results:  make(chan result, max(route.Attempts, attempt.DefaultMaxAttempts)+maxRefusals),
 		silenced: make(chan int, 1),
--- a/internal/entry/intake/budget.go
+++ b/internal/entry/intake/budget.go
@@ -46,6 +46,7 @@
 	byKey    map[string]int64 // bytes charged, by key and by address
 	byAddr   map[string]int64
 	lastTick time.Time
+	segments sync.Pool // of *[]byte, see ReadBody
 }
 
 // Claim is the part of a Budget that one request has. Open creates it, Close ends it.
--- a/internal/entry/intake/intake_test.go
+++ b/internal/entry/intake/intake_test.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -159,7 +161,7 @@
 		data, err := intake.ReadBody(context.Background(), chunked{bytes.NewReader(body)}, length, limit, func(need int64) *intake.Claim {
 			return budget.Open(time.Now(), intake.Caller{}, need, func() {})
 		})
-		return data, budget, err
+		return slices.Concat(data...), budget, err
 	}
 
 	It("returns bodies of all sizes, with and without a length", func() {
@@ -213,10 +215,40 @@
 			return budget.Open(time.Now(), intake.Caller{}, need, func() {})
 		})
 		Expect(err).NotTo(HaveOccurred())
-		Expect(got).To(HaveLen(len(data)))
+		Expect(slices.Concat(got...)).To(Equal(data))
 		Expect(evicted).To(Equal(1))
 	}, SpecTimeout(10*time.Second))
 
+	// Guards against a segment of a body that broke off and is used again in two others, or in
+	// one that is still being sent.
+	It("keeps bodies apart while others break off", func(ctx SpecContext) {
+		budget := &intake.Budget{}
+		budget.SetLimits(limits(4096))
+		read := func(body []byte, length int) (net.Buffers, error) {
+			var claim *intake.Claim
+			defer func() { claim.Close(time.Now()) }()
+			return intake.ReadBody(ctx, chunked{bytes.NewReader(body)}, int64(length), 1<<20, func(need int64) *intake.Claim {
+				claim = budget.Open(time.Now(), intake.Caller{}, need, func() {})
+				return claim
+			})
+		}
+		var readers sync.WaitGroup
+		for reader := range byte(8) {
+			readers.Go(func() {
+				defer GinkgoRecover()
+				body := bytes.Repeat([]byte{reader}, 200<<10)
+				for range 30 {
+					whole, err := read(body, len(body))
+					Expect(err).NotTo(HaveOccurred())
+					_, err = read(body, len(body)+1)
+					Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+					Expect(bytes.Equal(slices.Concat(whole...), body)).To(BeTrue())
+				}
+			})
+		}
+		readers.Wait()
+	}, SpecTimeout(20*time.Second))
+
 	It("lets the largest body use the reserve", func() {
 		data, _, err := read(make([]byte, 1<<20), -1, 1<<20, 64)
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/entry/intake/read.go
+++ b/internal/entry/intake/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"time"
 )
 
@@ -83,59 +84,83 @@
 func (e *TooLargeError) Error() string { return "body is too large" }
 
 // ReadBody reads a body of at most limit bytes and of the given length, which is negative if
-// unknown. Only what has arrived takes memory. open returns the claim of the request; it is
-// called with the length when the body exceeds FreeBytes. The error is a *RefusedError, a *TooLargeError or
-// an error of the body.
-func ReadBody(ctx context.Context, body io.Reader, length, limit int64, open func(length int64) *Claim) ([]byte, error) {
+// unknown, and returns it in parts. Only what has arrived takes memory. open returns the claim
+// of the request; it is called with the length when the body exceeds FreeBytes. The error is a
+// *RefusedError, a *TooLargeError or an error of the body.
+func ReadBody(ctx context.Context, body io.Reader, length, limit int64, open func(length int64) *Claim) (net.Buffers, error) {
 	if length > limit {
 		return nil, &TooLargeError{Limit: limit}
 	}
 	if 0 <= length && length <= FreeBytes {
 		data := make([]byte, length)
 		_, err := io.ReadFull(body, data)
-		return data, err
+		return net.Buffers{data}, err
 	}
-	first, err := fill(body, FreeBytes, nil)
+	first, err := fill(body, make([]byte, 0, FreeBytes), nil)
 	if err != nil {
 		return nil, err
 	}
 	if len(first) < FreeBytes {
-		return first, checkLength(int64(len(first)), length)
+		return net.Buffers{first}, checkLength(int64(len(first)), length)
 	}
-	return readCharged(ctx, body, first, length, limit, open(length))
+	claim := open(length)
+	parts, err := readCharged(ctx, body, first, length, limit, claim)
+	if err != nil {
+		claim.budget.recycle(parts[1:])
+		return nil, err
+	}
+	return parts, nil
 }
 
-// readCharged reads the rest of a body in segments that are charged to a claim.
-func readCharged(ctx context.Context, body io.Reader, first []byte, length, limit int64, claim *Claim) ([]byte, error) {
-	segments, total := [][]byte{first}, int64(len(first))
+// readCharged reads the rest of a body in segments that are charged to a claim. It returns the
+// parts that it has read also with an error.
+func readCharged(ctx context.Context, body io.Reader, first []byte, length, limit int64, claim *Claim) (net.Buffers, error) {
+	parts, total := net.Buffers{first}, int64(len(first))
 	for {
 		if err := claim.Acquire(ctx, SegmentBytes); err != nil {
-			return nil, err
+			return parts, err
 		}
-		segment, err := fill(body, SegmentBytes, claim)
+		segment, err := fill(body, claim.budget.newSegment(), claim)
+		parts = append(parts, segment)
 		if err != nil {
 			if refused := claim.refusal(); refused != nil {
-				return nil, refused
+				return parts, refused
 			}
-			return nil, err
+			return parts, err
 		}
 		total += int64(len(segment))
 		if total > limit {
-			return nil, &TooLargeError{Limit: limit}
+			return parts, &TooLargeError{Limit: limit}
 		}
-		segments = append(segments, segment)
 		if len(segment) < SegmentBytes || total == length {
 			if err := checkLength(total, length); err != nil {
-				return nil, err
+				return parts, err
 			}
 			if !claim.Complete() {
-				return nil, claim.refusal()
+				return parts, claim.refusal()
 			}
-			return join(segments, total), nil
+			return parts, nil
 		}
 	}
 }
 
+// newSegment returns an empty segment with a capacity of SegmentBytes.
+func (b *Budget) newSegment() []byte {
+	if segment, ok := b.segments.Get().(*[]byte); ok {
+		return (*segment)[:0]
+	}
+	return make([]byte, 0, SegmentBytes)
+}
+
+// recycle keeps the segments of a body that was not read to its end for others. Those of a
+// complete body are left to the garbage collector: a request may still be written from them
+// when its response is complete.
+func (b *Budget) recycle(segments net.Buffers) {
+	for _, segment := range segments {
+		b.segments.Put(&segment)
+	}
+}
+
 // checkLength returns io.ErrUnexpectedEOF if a body doesn't have the announced length.
 func checkLength(total, length int64) error {
 	if length >= 0 && total != length {
@@ -144,12 +169,11 @@
 	return nil
 }
 
-// fill reads up to size bytes, fewer only at the end of the body. A claim, if there is one,
-// learns of each read.
-func fill(body io.Reader, size int, claim *Claim) ([]byte, error) {
-	data := make([]byte, 0, size)
-	for len(data) < size {
-		n, err := body.Read(data[len(data):size])
+// fill reads into data up to its capacity, less only at the end of the body. A claim, if there
+// is one, learns of each read. The bytes that were read are returned with an error as well.
+func fill(body io.Reader, data []byte, claim *Claim) ([]byte, error) {
+	for len(data) < cap(data) {
+		n, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
 		if claim != nil {
 			claim.Deliver(int64(n))
@@ -158,18 +182,8 @@
 			break
 		}
 		if err != nil {
-			return nil, err
+			return data, err
 		}
 	}
 	return data, nil
 }
-
-// join returns the segments as one slice.
-func join(segments [][]byte, total int64) []byte {
-	data := make([]byte, 0, total)
-	for i, segment := range segments {
-		data = append(data, segment...)
-		segments[i] = nil // free for the garbage collector while the others are copied
-	}
-	return data
-}
--- a/internal/entry/poison/poison.go
+++ b/internal/entry/poison/poison.go
@@ -37,10 +37,12 @@
 
 // FingerprintOf returns the fingerprint of a request. Workspace and route are
 // preceded by their lengths, so that no two requests have the same hash input.
-func FingerprintOf(workspace, route string, body []byte) Fingerprint {
+func FingerprintOf(workspace, route string, body ...[]byte) Fingerprint {
 	h := sha256.New()
 	_, _ = fmt.Fprintf(h, "%d:%s%d:%s", len(workspace), workspace, len(route), route)
-	_, _ = h.Write(body)
+	for _, part := range body {
+		_, _ = h.Write(part)
+	}
 	return Fingerprint(h.Sum(nil)[:16])
 }
 
--- a/internal/host/node/callers_test.go
+++ b/internal/host/node/callers_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -41,7 +42,7 @@
 			n.RefuseIntake(w, r, err)
 			return
 		}
-		n.WriteAnswer(w, r, intake.Caller{}, body)
+		n.WriteAnswer(w, r, intake.Caller{}, slices.Concat(body...))
 	}))
 	go func() { _ = server.Serve(callerListener{listener, n, &n.Intake.Connections}) }()
 	DeferCleanup(server.Close)
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -205,7 +206,7 @@
 	route.Attempts = 1 // the caller of Score retries and counts failures
 	response, err := s.Forwarder.Do(ctx, route, forward.Request{
 		ID: scorer.ID, Host: scorer.Host, Method: http.MethodPost, Target: scorer.Target,
-		Body: scorer.Body, TimeLeft: scoreTimeout, Priority: -1, Owed: true,
+		Body: net.Buffers{scorer.Body}, TimeLeft: scoreTimeout, Priority: -1, Owed: true,
 		Regions: append(p.Regions(route, ""), scorer.Regions...),
 	})
 	switch {
--- a/internal/host/node/take.go
+++ b/internal/host/node/take.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net"
 	"net/http"
 	"time"
 
@@ -11,7 +12,7 @@
 
 // ReadBody reads the body of a request of at most limit bytes. The errors are those of
 // intake.ReadBody. The caller must call release once the body is not used any more.
-func (n *Node) ReadBody(w http.ResponseWriter, r *http.Request, caller intake.Caller, limit int64) (body []byte, release func(), err error) {
+func (n *Node) ReadBody(w http.ResponseWriter, r *http.Request, caller intake.Caller, limit int64) (body net.Buffers, release func(), err error) {
 	var claim *intake.Claim
 	body, err = intake.ReadBody(r.Context(), r.Body, r.ContentLength, limit, func(need int64) *intake.Claim {
 		claim = n.Intake.Bodies.Open(time.Now(), caller, need, func() {
--- a/internal/platform/rest/before_send_test.go
+++ b/internal/platform/rest/before_send_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,3 +68,31 @@
 		Expect(checks).To(Equal(3))
 	})
 })
+
+// Guards against a body that is empty or cut in the second of two calls which send the same
+// parts: reading consumes a list of parts.
+var _ = It("sends a body in parts, also in several calls at once", func(ctx SpecContext) {
+	got := make(chan string, 8)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		got <- fmt.Sprintf("%q %v", body, err)
+	}))
+	defer server.Close()
+	caller := rest.Caller{Base: server.URL, HTTP: rest.NewClient()}
+	parts := net.Buffers{[]byte("one "), {}, []byte("two")}
+	var calls sync.WaitGroup
+	for range cap(got) {
+		calls.Go(func() {
+			defer GinkgoRecover()
+			_, err := caller.Do(ctx, rest.Call{Method: http.MethodPost, Path: "/", BodyParts: parts})
+			Expect(err).NotTo(HaveOccurred())
+		})
+	}
+	calls.Wait()
+	for range cap(got) {
+		Expect(<-got).To(Equal(`"one two" <nil>`))
+	}
+	_, err := caller.Do(ctx, rest.Call{Method: http.MethodPost, Path: "/", BodyParts: net.Buffers{{}}})
+	Expect(err).NotTo(HaveOccurred())
+	Expect(<-got).To(Equal(`"" <nil>`))
+}, SpecTimeout(10*time.Second))
--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -62,6 +63,8 @@
 	Query  url.Values
 	Header http.Header
 	Body   []byte
+	// BodyParts are sent one after the other in place of Body, if set. They are not changed.
+	BodyParts net.Buffers
 	// BeforeSend, if set, is called just before the first byte is written. By then the
 	// process may have been suspended or have waited for a connection. An error ends the
 	// call unsent; Open and Do then return it in a *NotPermittedError in a *LostError.
@@ -145,12 +148,16 @@
 	if len(call.Query) > 0 {
 		target += "?" + call.Query.Encode()
 	}
-	request, err := http.NewRequestWithContext(ctx, call.Method, target, newBody(call.Body))
+	body, size := newBody(call.Body), len(call.Body)
+	if call.BodyParts != nil {
+		body, size = newBodyOfParts(call.BodyParts), partsSize(call.BodyParts)
+	}
+	request, err := http.NewRequestWithContext(ctx, call.Method, target, body)
 	if err != nil {
 		return nil, err
 	}
 	request.Host = call.Host
-	request.ContentLength = int64(len(call.Body))
+	request.ContentLength = int64(size)
 	for name, values := range call.Header {
 		request.Header[name] = values
 	}
--- a/internal/platform/rest/transport.go
+++ b/internal/platform/rest/transport.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -115,6 +116,25 @@
 	return opaqueBody{bytes.NewReader(data)}
 }
 
+// newBodyOfParts is newBody for a body in parts. Reading changes only a copy of the list, so
+// that the same parts can be sent by several calls at once.
+func newBodyOfParts(parts net.Buffers) io.ReadCloser {
+	if partsSize(parts) == 0 {
+		return newBody(nil)
+	}
+	unread := slices.Clone(parts)
+	return opaqueBody{&unread}
+}
+
+// partsSize returns the number of bytes of a body in parts.
+func partsSize(parts net.Buffers) int {
+	size := 0
+	for _, part := range parts {
+		size += len(part)
+	}
+	return size
+}
+
 // emptyReader is the reader of an empty body.
 type emptyReader struct{}
 
--- a/internal/rollout/batch/batch_test.go
+++ b/internal/rollout/batch/batch_test.go
@@ -291,7 +291,7 @@
 	defer e.mu.Unlock()
 	e.servers[request.ID] = server.Name
 	e.runs[request.ID] = append(e.runs[request.ID], request.ResumeAfter)
-	e.bodies[request.ID] = append(e.bodies[request.ID], string(request.Body))
+	e.bodies[request.ID] = append(e.bodies[request.ID], string(slices.Concat(request.Body...)))
 	if e.refuse[request.ID] == 0 {
 		return false
 	}
--- a/internal/rollout/batch/generate.go
+++ b/internal/rollout/batch/generate.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"slices"
 	"strings"
 	"time"
@@ -216,7 +217,7 @@
 	g.triedEngines = append(g.triedEngines, choice.Server.Name)
 	stream, err := g.startStream(ctx, choice.Server, forward.Request{
 		ID: g.item.ID, Host: g.batch.Host, Method: "POST", Target: g.item.Target, Header: g.item.Header,
-		Body: g.item.Body, Workspace: g.batch.Workspace, Priority: -1, ResumeAfter: len(g.Texts),
+		Body: net.Buffers{g.item.Body}, Workspace: g.batch.Workspace, Priority: -1, ResumeAfter: len(g.Texts),
 		NewConnection: freshConnection,
 		BeforeSend: func() error {
 			if err := ctx.Err(); err != nil {
