Let callers' connections hold less unread data, and fewer of them

What callers saw: crowds with unfinished bodies ended a process for its memory.

Cause: a connection was taken for 128 KB, all connections of a host together for all of its memory, and nothing was left for bodies. The kernel doubles the size of a receive buffer that is asked for: up to 105 KB of unread bytes lay on each connection whose body waited for memory.

The buffer asked for is 32 KB, and a connection counts as 256 KB. A host of 112 MB takes 448 connections instead of 896, one of 284 MB 1,136 instead of 1,300; beyond that the one that is silent the longest is closed, as before.

--- a/internal/host/node/callers.go
+++ b/internal/host/node/callers.go
@@ -15,8 +15,9 @@
 // Limits of callers' connections.
 const (
 	// receiveBuffer and sendBuffer are the sizes of the kernel's buffers for a connection of a
-	// caller. Linux grows them to megabytes otherwise. At 2 ms round trip they allow 30 MB/s.
-	receiveBuffer = 64 << 10
+	// caller. Linux grows them to megabytes otherwise. What has arrived and was not read takes
+	// memory of this host. At 2 ms round trip they allow 15 MB/s and more.
+	receiveBuffer = 32 << 10
 	sendBuffer    = 128 << 10
 	// answerPiece is written at a time, within answerTimeout, so that a caller that reads
 	// nothing holds the rest of its answer no longer than that.
--- a/internal/host/node/intake.go
+++ b/internal/host/node/intake.go
@@ -27,7 +27,9 @@
 	batchesDivisor   = 5  // batches that run on this host
 	peersDivisor     = 8  // messages of other hosts
 
-	connectionBytes = 128 << 10 // memory per connection of a caller, with the kernel's buffers
+	unbudgetedDivisor = 16 // heads of requests, and the parts of bodies that no budget charges
+
+	connectionBytes = 256 << 10 // memory per connection of a caller, with the kernel's buffers
 	requestBytes    = 512 << 10 // memory per request under way, without its body
 )
 
