End requests with the connections that the host closes

What callers saw: crowds that open more connections than a host takes ended a process for its memory.

Cause: when the host closed a connection beyond its maximum, the request on it went on waiting for memory, for up to 5 s: net/http notices the end of a connection when it reads. A goroutine profile of a host with a maximum of 448 connections had 896 such requests, each with the first 16 KB of its body.

Evidence: "end their requests with them" timed out without the fix.

A request's context now ends with the connection, whoever closes it.

--- a/internal/entry/intake/budget.go
+++ b/internal/entry/intake/budget.go
@@ -208,6 +208,13 @@
 	return b.used
 }
 
+// Waiting returns the number of claims that wait.
+func (b *Budget) Waiting() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.waiting)
+}
+
 // add changes the bytes of a claim by n. The caller holds b.mu, as of the following methods.
 func (b *Budget) add(c *Claim, n int64) {
 	c.charged += n
--- a/internal/host/node/callers.go
+++ b/internal/host/node/callers.go
@@ -44,7 +44,11 @@
 		return nil, err
 	}
 	accepted := &callerConn{Conn: conn, node: l.node}
-	added, closed := l.connections.Add(time.Now(), func() { _ = conn.Close() })
+	accepted.open, accepted.end = context.WithCancel(context.Background())
+	added, closed := l.connections.Add(time.Now(), func() {
+		accepted.end()
+		_ = conn.Close()
+	})
 	accepted.entry = added
 	if closed != nil {
 		l.node.CountRefusal(intake.ReasonConnections)
@@ -58,6 +62,8 @@
 	net.Conn
 	node  *Node
 	entry *intake.Connection
+	open  context.Context // ends with the connection; net/http notices the end only when it reads
+	end   context.CancelFunc
 }
 
 // headTooLarge is the answer to a head that exceeds the limit. The server does not know of the
@@ -100,6 +106,7 @@
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
+	c.end()
 	c.entry.Remove()
 	return c.Conn.Close()
 }
@@ -122,6 +129,11 @@
 	return &http.Server{
 		Handler: n.bounded(entry), ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			if c, ok := conn.(*callerConn); ok {
+				untilClosed, cancel := context.WithCancel(ctx)
+				context.AfterFunc(c.open, cancel)
+				ctx = untilClosed
+			}
 			return context.WithValue(ctx, connKey{}, conn)
 		},
 		ConnState: func(conn net.Conn, state http.ConnState) {
--- a/internal/host/node/callers_test.go
+++ b/internal/host/node/callers_test.go
@@ -123,6 +123,22 @@
 		Expect(bytes.Equal(got, body)).To(BeTrue())
 	})
 
+	// Guards against a connection that is closed, and whose request waits for memory all the same.
+	It("end their requests with them", func() {
+		n, address := serveCallers(Settings{MemoryBytes: 4 << 20, MaxFiles: 1000}, &policy.Limits{MaxBodyBytes: 1 << 20})
+		n.Intake.Bodies.SetLimits(intake.Limits{Patience: time.Minute, MaxWait: time.Minute, Window: time.Minute})
+		holder := n.Intake.Bodies.Open(time.Now(), intake.Caller{}, 0, func() {})
+		Expect(holder.Grow(time.Now(), 1)).To(BeTrue()) // holds the reserve, and so all memory
+		waiting := dialCaller(address)
+		fmt.Fprintf(waiting, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", 1<<20)
+		_, _ = waiting.Write(make([]byte, intake.FreeBytes))
+		Eventually(n.Intake.Bodies.Waiting, 5*time.Second).Should(Equal(1))
+		for range n.maxConnections() {
+			dialCaller(address) // until the first one is closed for those after it
+		}
+		Eventually(n.Intake.Bodies.Waiting, 5*time.Second).Should(BeZero())
+	})
+
 	// Guards against a refusal without the promise that the request has not run.
 	It("get 503 and a time to come back when their bodies stall while memory is short", func() {
 		_, address := serveCallers(Settings{MemoryBytes: 4 << 20, MaxFiles: 1000}, &policy.Limits{MaxBodyBytes: 1 << 20})
