Bound the memory of heads and of uncharged parts of bodies

What callers saw: a crowd whose heads are within the limit, but have many fields, ended a process for its memory.

Cause: the size of each head was limited, not that of all heads together, and not by what a head takes once it is read: 16 KB of short fields become some 240 KB of strings and map entries, for as long as the request lasts. The first 16 KB of each body are not charged either.

Connections add up what heads take, three bytes for each byte and 100 for each line, and the uncharged parts of bodies. Beyond 1/16 of the memory, unfinished requests are closed, those that take the most first. A complete one that has more than an equal share gets 503 with Retry-After before it runs. A head of 1 KB with 20 fields counts as 5 KB: a host of 112 MB holds 1,400 of these, more than its connections. Without a memory limit there is no such bound.

--- a/internal/entry/intake/connections.go
+++ b/internal/entry/intake/connections.go
@@ -1,6 +1,9 @@
 package intake
 
 import (
+	"bytes"
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -9,6 +12,7 @@
 type ConnectionLimits struct {
 	Max         int           // number of connections, zero for no limit
 	HeadBytes   int           // of one request's head, zero for no limit
+	Unbudgeted  int64         // memory of all heads and FreeBytes of bodies, in bytes, zero for no limit
 	HeadTimeout time.Duration // from the first byte of a head, or the connection's start, to its end
 	IdleTimeout time.Duration // between two requests
 }
@@ -22,14 +26,23 @@
 	ReasonHeadTime    = "no complete head in time"
 	ReasonIdle        = "idle for too long"
 	ReasonHeadSize    = "head is too large"
+	ReasonHeads       = "heads and small bodies take too much memory"
+)
+
+// Memory of a head: it is kept as it arrived, as strings, and as an entry of a map for each
+// field.
+const (
+	headByteCost = 3   // bytes for each byte
+	fieldCost    = 100 // bytes for each line
 )
 
 // Connections decides which connections of callers are closed. The zero value has no limits.
 // It is safe for concurrent use.
 type Connections struct {
-	mu     sync.Mutex
-	limits ConnectionLimits
-	all    map[*Connection]bool
+	mu         sync.Mutex
+	limits     ConnectionLimits
+	all        map[*Connection]bool
+	unbudgeted int64 // sum of those of all connections
 }
 
 // Connection is what Connections knows of one connection.
@@ -37,6 +50,7 @@
 	Close func() // closes it
 
 	connections *Connections
+	unbudgeted  int64 // memory of the head and of the part of the body that no Budget charges; guarded by connections.mu
 
 	mu        sync.Mutex
 	busy      bool // a request is under way
@@ -77,15 +91,78 @@
 			closed, longest = other, since
 		}
 	}
-	delete(c.all, closed)
+	c.remove(closed)
 	return added, closed
 }
 
+// remove removes a connection. The caller holds c.mu, as of the following method.
+func (c *Connections) remove(connection *Connection) {
+	if c.all[connection] {
+		delete(c.all, connection)
+		c.unbudgeted -= connection.unbudgeted
+	}
+}
+
+// evict removes connections until what is left is within the limit, and returns them: those
+// that take the most, and among equal ones those on which nothing has arrived for the longest
+// time. Complete requests are left.
+func (c *Connections) evict() []*Connection {
+	if c.limits.Unbudgeted <= 0 || c.unbudgeted <= c.limits.Unbudgeted {
+		return nil
+	}
+	type candidate struct {
+		*Connection
+		since time.Time
+	}
+	var candidates []candidate
+	for other := range c.all {
+		if since, incomplete := other.idle(); incomplete && other.unbudgeted > 0 {
+			candidates = append(candidates, candidate{other, since})
+		}
+	}
+	slices.SortFunc(candidates, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(y.unbudgeted, x.unbudgeted), x.since.Compare(y.since))
+	})
+	var evicted []*Connection
+	for _, other := range candidates {
+		if c.unbudgeted <= c.limits.Unbudgeted {
+			break
+		}
+		c.remove(other.Connection)
+		evicted = append(evicted, other.Connection)
+	}
+	return evicted
+}
+
+// Hold charges n bytes of memory to the connection until its request ends. It returns the
+// connections to close.
+func (c *Connection) Hold(n int64) []*Connection {
+	all := c.connections
+	all.mu.Lock()
+	defer all.mu.Unlock()
+	if !all.all[c] {
+		return nil
+	}
+	c.unbudgeted += n
+	all.unbudgeted += n
+	return all.evict()
+}
+
+// TakesTooMuch reports whether the connection's request should be refused: heads and small
+// bodies exceed their limit, and it has more than an equal share of that.
+func (c *Connection) TakesTooMuch() bool {
+	all := c.connections
+	all.mu.Lock()
+	defer all.mu.Unlock()
+	limit := all.limits.Unbudgeted
+	return limit > 0 && all.unbudgeted > limit && c.unbudgeted > limit/int64(len(all.all)+1)
+}
+
 // Remove forgets a connection that is closed.
 func (c *Connection) Remove() {
 	c.connections.mu.Lock()
 	defer c.connections.mu.Unlock()
-	delete(c.connections.all, c)
+	c.connections.remove(c)
 }
 
 // Count returns the number of connections.
@@ -150,14 +227,19 @@
 	c.arrived = true
 }
 
-// Receive records that n bytes have arrived. It returns false if the head is too large.
-func (c *Connection) Receive(now time.Time, n int) bool {
-	bytes := c.addHeadBytes(now, n)
-	if bytes <= headSlack {
-		return true
+// Receive records that bytes have arrived. It returns whether the head is within its limit,
+// and the connections to close since heads take too much memory.
+func (c *Connection) Receive(now time.Time, data []byte) (within bool, evicted []*Connection) {
+	size := c.addHeadBytes(now, len(data))
+	if size == 0 {
+		return true, nil
+	}
+	evicted = c.Hold(headByteCost*int64(len(data)) + fieldCost*int64(bytes.Count(data, []byte{'\n'})))
+	if size <= headSlack {
+		return true, evicted
 	}
 	limit := c.connections.headLimit()
-	return limit <= 0 || bytes-headSlack <= limit
+	return limit <= 0 || size-headSlack <= limit, evicted
 }
 
 // addHeadBytes counts n bytes of a head and returns their sum, 0 while a request is under way.
@@ -208,7 +290,19 @@
 
 // End records that the response to a request has been written.
 func (c *Connection) End(now time.Time) {
+	c.release()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy, c.idleSince, c.headSince, c.headBytes = false, now, time.Time{}, 0
 }
+
+// release gives back what the connection holds.
+func (c *Connection) release() {
+	all := c.connections
+	all.mu.Lock()
+	defer all.mu.Unlock()
+	if all.all[c] {
+		all.unbudgeted -= c.unbudgeted
+		c.unbudgeted = 0
+	}
+}
--- a/internal/entry/intake/intake_test.go
+++ b/internal/entry/intake/intake_test.go
@@ -260,6 +260,10 @@
 	start := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	var connections *intake.Connections
+	receive := func(c *intake.Connection, now time.Time, n int) bool {
+		within, _ := c.Receive(now, make([]byte, n))
+		return within
+	}
 	BeforeEach(func() {
 		connections = &intake.Connections{}
 		connections.SetLimits(intake.ConnectionLimits{Max: 3, HeadBytes: 16 << 10, HeadTimeout: time.Second, IdleTimeout: 5 * time.Second})
@@ -290,10 +294,10 @@
 	It("are closed while a body doesn't go on", func() {
 		stalled, _ := connections.Add(at(0), nil)
 		stalled.Begin()
-		stalled.Receive(at(10), 100)
+		receive(stalled, at(10), 100)
 		sending, _ := connections.Add(at(0), nil)
 		sending.Begin()
-		sending.Receive(at(20), 100)
+		receive(sending, at(20), 100)
 		_, _ = connections.Add(at(15), nil)
 		_, closed := connections.Add(at(30), nil)
 		Expect(closed).To(BeIdenticalTo(stalled))
@@ -308,24 +312,71 @@
 		c.End(at(60_000))
 		Expect(connections.Expired(at(64_000))).To(BeEmpty())
 		Expect(connections.Expired(at(65_100))).To(HaveKeyWithValue(c, intake.ReasonIdle))
-		c.Receive(at(64_000), 10)
+		receive(c, at(64_000), 10)
 		Expect(connections.Expired(at(65_100))).To(HaveKeyWithValue(c, intake.ReasonHeadTime))
 	})
 
 	It("end when a head is too large, but not by a body", func() {
 		c, _ := connections.Add(at(0), nil)
-		Expect(c.Receive(at(1), 16<<10)).To(BeTrue())
-		Expect(c.Receive(at(1), 8<<10)).To(BeFalse())
+		Expect(receive(c, at(1), 16<<10)).To(BeTrue())
+		Expect(receive(c, at(1), 8<<10)).To(BeFalse())
 		c.Begin()
-		Expect(c.Receive(at(1), 1<<20)).To(BeTrue())
+		Expect(receive(c, at(1), 1<<20)).To(BeTrue())
+	})
+
+	// Guards against heads and small bodies that take the memory of the host together, each of
+	// them within its limit.
+	It("are closed when their heads take too much memory, the largest first", func() {
+		connections.SetLimits(intake.ConnectionLimits{HeadBytes: 16 << 10, Unbudgeted: 100_000})
+		idle, _ := connections.Add(at(0), nil)
+		small, _ := connections.Add(at(1), nil)
+		receive(small, at(1), 500)
+		complete, _ := connections.Add(at(2), nil)
+		receive(complete, at(2), 10_000)
+		complete.Begin()
+		complete.Arrive()
+		large, _ := connections.Add(at(3), nil)
+		receive(large, at(3), 9_000)
+		fields, _ := connections.Add(at(4), nil)
+		_, evicted := fields.Receive(at(4), bytes.Repeat([]byte("a:\r\n"), 500))
+		Expect(evicted).To(Equal([]*intake.Connection{fields}), "lines count more than their bytes")
+		another, _ := connections.Add(at(5), nil)
+		_, evicted = another.Receive(at(5), make([]byte, 15_000))
+		Expect(evicted).To(Equal([]*intake.Connection{another}))
+		Expect(large.Hold(0)).To(BeEmpty())
+		Expect(small.Hold(80_000)).To(Equal([]*intake.Connection{small}), "a body counts as well")
+		Expect(idle.Hold(10)).To(BeEmpty())
+		Expect(connections.Count()).To(Equal(3))
+	})
+
+	It("are told to refuse a complete request only if it has more than its share", func() {
+		connections.SetLimits(intake.ConnectionLimits{HeadBytes: 16 << 10, Unbudgeted: 100_000})
+		large, _ := connections.Add(at(0), nil)
+		receive(large, at(0), 16_000)
+		large.Begin()
+		large.Arrive()
+		Expect(large.TakesTooMuch()).To(BeFalse(), "memory suffices")
+		another, _ := connections.Add(at(0), nil)
+		receive(another, at(0), 10_000)
+		another.Begin()
+		another.Arrive()
+		another.Hold(40_000)
+		ordinary, _ := connections.Add(at(0), nil)
+		receive(ordinary, at(0), 300)
+		ordinary.Begin()
+		ordinary.Arrive()
+		Expect(ordinary.TakesTooMuch()).To(BeFalse())
+		Expect(another.TakesTooMuch()).To(BeTrue())
+		another.End(at(1))
+		Expect(large.TakesTooMuch()).To(BeFalse(), "memory is free again")
 	})
 
 	It("count as pipelining only when a head was sent before the response", func() {
 		c, _ := connections.Add(at(0), nil)
-		c.Receive(at(0), 200)
+		receive(c, at(0), 200)
 		Expect(c.Begin()).To(BeFalse())
 		c.End(at(1))
-		c.Receive(at(2), 200)
+		receive(c, at(2), 200)
 		Expect(c.Begin()).To(BeFalse())
 		c.End(at(3))
 		Expect(c.Begin()).To(BeTrue())
--- a/internal/entry/intake/read.go
+++ b/internal/entry/intake/read.go
@@ -26,8 +26,8 @@
 
 func (e *RefusedError) Error() string { return "refused: " + e.Reason }
 
-// retryAfter is the RefusedError.RetryAfter. Memory is free again after about a window.
-const retryAfter = time.Second
+// RetryAfter is that of a RefusedError. Memory is free again after about a window.
+const RetryAfter = time.Second
 
 // Acquire charges n bytes, and waits for them if necessary. The error is a *RefusedError or
 // that of the context.
@@ -40,7 +40,7 @@
 	for {
 		wake, reason := c.wait()
 		if reason != "" {
-			return &RefusedError{Reason: reason, RetryAfter: retryAfter}
+			return &RefusedError{Reason: reason, RetryAfter: RetryAfter}
 		}
 		if wake == nil {
 			return nil
@@ -71,7 +71,7 @@
 // refusal returns a *RefusedError if the claim was evicted, else nil.
 func (c *Claim) refusal() error {
 	if _, reason := c.wait(); reason != "" {
-		return &RefusedError{Reason: reason, RetryAfter: retryAfter}
+		return &RefusedError{Reason: reason, RetryAfter: RetryAfter}
 	}
 	return nil
 }
--- a/internal/entry/intake/turns.go
+++ b/internal/entry/intake/turns.go
@@ -53,7 +53,7 @@
 	case <-timer.C:
 	}
 	if t.giveUp(waits) {
-		return &RefusedError{Reason: ReasonRequests, RetryAfter: retryAfter}
+		return &RefusedError{Reason: ReasonRequests, RetryAfter: RetryAfter}
 	}
 	return nil // it got its turn at the same time
 }
--- a/internal/host/node/callers.go
+++ b/internal/host/node/callers.go
@@ -73,7 +73,12 @@
 // Read implements net.Conn. It ends the connection when a head is too large.
 func (c *callerConn) Read(into []byte) (int, error) {
 	n, err := c.Conn.Read(into)
-	if n > 0 && !c.entry.Receive(time.Now(), n) {
+	if n <= 0 {
+		return n, err
+	}
+	within, evicted := c.entry.Receive(time.Now(), into[:n])
+	c.node.evict(evicted)
+	if !within {
 		c.node.CountRefusal(intake.ReasonHeadSize)
 		_, _ = c.Write([]byte(headTooLarge))
 		_ = c.CloseWrite()
@@ -167,6 +172,11 @@
 			return
 		}
 		pipelining := conn.entry.Begin()
+		n.evict(conn.entry.Hold(freeBytes(r.ContentLength)))
+		if conn.entry.TakesTooMuch() {
+			n.RefuseIntake(w, r, &intake.RefusedError{Reason: intake.ReasonHeads, RetryAfter: intake.RetryAfter})
+			return
+		}
 		if r.ContentLength == 0 {
 			conn.entry.Arrive()
 		}
@@ -181,6 +191,23 @@
 	})
 }
 
+// freeBytes returns how much of a body of the given length, negative if unknown, no budget
+// charges.
+func freeBytes(length int64) int64 {
+	if length < 0 {
+		return intake.FreeBytes
+	}
+	return min(length, intake.FreeBytes)
+}
+
+// evict closes connections whose requests take too much memory.
+func (n *Node) evict(connections []*intake.Connection) {
+	for _, conn := range connections {
+		n.CountRefusal(intake.ReasonHeads)
+		conn.Close()
+	}
+}
+
 // expireConnections closes the connections whose head or idle time is over.
 func (n *Node) expireConnections(ctx context.Context) {
 	runEvery(ctx, expiryInterval, func() {
--- a/internal/host/node/intake.go
+++ b/internal/host/node/intake.go
@@ -81,7 +81,6 @@
 		Max: n.maxConnections(), HeadBytes: limits.MaxHeaderBytes,
 		HeadTimeout: timeoutOr(limits.HeaderTimeout, headerTimeout), IdleTimeout: timeoutOr(limits.IdleTimeout, callerIdleTimeout),
 	}
-	n.Intake.Connections.SetLimits(connections)
 	bodies, answers := bodyTimes, bodyTimes
 	bodies.Shared, answers.Shared = math.MaxInt64/2, math.MaxInt64/2
 	if memory := n.Settings.MemoryBytes; memory > 0 {
@@ -91,8 +90,10 @@
 		}
 		bodies.Shared = max(memory/bodiesDivisor-largest, memory/minSharedDivisor)
 		answers.Shared = memory / answersDivisor
+		connections.Unbudgeted = memory / unbudgetedDivisor
 	}
 	answers.Patience = answerPatience
+	n.Intake.Connections.SetLimits(connections)
 	n.Intake.Bodies.SetLimits(bodies)
 	n.Intake.Answers.SetLimits(answers)
 }
