--- a/internal/entry/intake/budget.go
+++ b/internal/entry/intake/budget.go
@@ -167,6 +167,16 @@
 	return c.busy
 }
 
+// Completed returns the bytes charged to a request that has arrived as a whole, 0 for others.
+func (c *Claim) Completed() int64 {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	if !c.busy {
+		return 0
+	}
+	return c.charged
+}
+
 // rank returns the size by which waiting claims are ordered. A request of unknown length counts by
 // what it has and waits for: counted as one of the largest, honest ones would give way to each
 // other although they fit.
--- a/internal/host/node/take.go
+++ b/internal/host/node/take.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"net/http"
+	"runtime"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/entry/intake"
@@ -25,11 +26,23 @@
 	}
 	return body, func() {
 		if claim != nil {
+			n.collectBody(claim)
 			claim.Close(time.Now())
 		}
 	}, err
 }
 
+// collectDivisor gives the size of a large body as a part of the memory.
+const collectDivisor = 16
+
+// collectBody frees the memory of a large body before its claim ends, which lets the next body
+// take as much: two bodies of the largest size don't fit.
+func (n *Node) collectBody(claim *intake.Claim) {
+	if memory := n.Settings.MemoryBytes; memory > 0 && claim.Completed() >= memory/collectDivisor {
+		runtime.GC()
+	}
+}
+
 // WriteAnswer writes the body of an answer. While answers take too much memory, it closes the
 // connections of callers that read nothing.
 func (n *Node) WriteAnswer(w http.ResponseWriter, r *http.Request, caller intake.Caller, body []byte) {
