Bound heads and connections at the addresses for readiness, metrics and hosts

What callers saw: whoever reached the address for readiness checks could end a process for its memory with 300 connections.

Cause: these servers had net/http's limit of 1 MB a head, and no limit on connections but the descriptors.

Heads there are limited to 16 KB, those of other hosts included, and readiness checks and metrics have 64 connections together, of which the one that is silent the longest is closed. The platform checks once a second.

--- a/internal/host/node/callers.go
+++ b/internal/host/node/callers.go
@@ -29,7 +29,7 @@
 	maxServerTimeout = 10 * time.Minute
 )
 
-// callerListener is the listener for callers, or for other hosts. It bounds the number of
+// callerListener is the listener for callers, other hosts or probes. It bounds the number of
 // connections.
 type callerListener struct {
 	net.Listener
@@ -57,7 +57,7 @@
 	return accepted, nil
 }
 
-// callerConn is a connection of a caller or of another host.
+// callerConn is a connection of a callerListener.
 type callerConn struct {
 	net.Conn
 	node  *Node
@@ -149,9 +149,9 @@
 	}
 }
 
-// trackPeer tells Connections of the requests of another host. They are small, and their
-// connections are not closed while one is under way.
-func trackPeer(conn net.Conn, state http.ConnState) {
+// trackConn tells Connections of requests that don't come from callers. They are small, and
+// their connections are not closed while one is under way.
+func trackConn(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*callerConn)
 	switch {
 	case ok && state == http.StateActive:
--- a/internal/host/node/intake.go
+++ b/internal/host/node/intake.go
@@ -62,6 +62,7 @@
 	Requests    intake.Turns // requests under way
 
 	peers       intake.Connections // of other hosts
+	probes      intake.Connections // for readiness checks and metrics
 	pipelined   intake.Turns
 	decoding    *semaphore.Weighted // nil for no limit
 	decodable   int64               // weight of decoding
@@ -109,6 +110,7 @@
 // newIntake sets the limits that depend on the settings alone.
 func (n *Node) newIntake() {
 	n.Intake.peers.SetLimits(intake.ConnectionLimits{Max: n.maxPeerConnections()})
+	n.Intake.probes.SetLimits(intake.ConnectionLimits{Max: maxProbes})
 	if memory := n.Settings.MemoryBytes; memory > 0 {
 		n.Intake.pipelined.SetMax(maxPipelined)
 		n.Intake.Requests.SetMax(int(memory / requestBytes))
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -23,20 +23,40 @@
 	peerIdleTimeout   = 60 * time.Second // how long a connection of another host may be idle
 )
 
+const (
+	// maxInternalHead limits the head of a request that doesn't come from a caller, in bytes.
+	maxInternalHead = 16 << 10
+	// maxProbes is the number of connections for readiness checks and metrics together. A host
+	// gets a check a second.
+	maxProbes = 64
+)
+
 // serve starts the HTTP servers for callers, the readiness check, other hosts and metrics.
 // It returns the one for callers.
 func (n *Node) serve(l listeners, entry http.Handler) *http.Server {
 	front := n.callerServer(entry)
-	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
-	internal := &http.Server{Handler: n.boundedPeers(n.internalHandler(), peer.MaxMessage), ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout, ConnState: trackPeer}
+	ready := probeServer(n.serveReady)
+	internal := &http.Server{
+		Handler: n.boundedPeers(n.internalHandler(), peer.MaxMessage), ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout,
+		MaxHeaderBytes: maxInternalHead, ConnState: trackConn,
+	}
 	go func() { _ = front.Serve(callerListener{l.front, n, &n.Intake.Connections}) }() // ends with Shutdown
-	go func() { _ = ready.Serve(l.ready) }()                                           // this and the following ones end with the process
+	go func() { _ = ready.Serve(callerListener{l.ready, n, &n.Intake.probes}) }()      // this and the following ones end with the process
 	go func() { _ = internal.Serve(callerListener{l.internal, n, &n.Intake.peers}) }()
-	metrics := &http.Server{Handler: http.HandlerFunc(n.serveMetrics), ReadHeaderTimeout: headerTimeout}
-	go func() { _ = metrics.Serve(l.metrics) }()
+	metrics := probeServer(n.serveMetrics)
+	go func() { _ = metrics.Serve(callerListener{l.metrics, n, &n.Intake.probes}) }()
 	return front
 }
 
+// probeServer returns the HTTP server of an address for readiness checks or metrics. Its
+// requests have small heads and no body.
+func probeServer(handler http.HandlerFunc) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		MaxHeaderBytes: maxInternalHead, ConnState: trackConn,
+	}
+}
+
 // serveReady responds to the readiness check: 200 if the host should get callers, else 503.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !n.Ready() {
