Check the heads of answers over TLS by their bytes, too

Callers got answers over TLS whose head has a folded line, a Transfer-Encoding beside a length or in HTTP/1.0, or another major version; without TLS they are refused.

Cause: the connection that checks the bytes of a head lay below TLS, where they are encrypted, and so did not check them.

All cases of testdata/answers are now played over TLS as well.

The client now opens TLS itself and puts the checking connection above it. Its count of writes is thus that of requests only, without the alerts and handshakes of TLS.

--- a/internal/platform/rest/answers_test.go
+++ b/internal/platform/rest/answers_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"time"
 
@@ -30,17 +32,27 @@
 	Body      string
 }
 
+// answerConn is a connection of a server.
+type answerConn struct {
+	net.Conn              // with TLS or without
+	tcp      *net.TCPConn // below TLS
+}
+
+// CloseWrite shuts down the writing side.
+func (c answerConn) CloseWrite() error { return c.Conn.(interface{ CloseWrite() error }).CloseWrite() }
+
 // answerEnds are the values of answerCase.Then.
-var answerEnds = map[string]func(conn *net.TCPConn, rest io.Reader){
+var answerEnds = map[string]func(conn answerConn, rest io.Reader){
 	// The server reads the request to its end and closes the connection.
-	"close": func(_ *net.TCPConn, rest io.Reader) { _, _ = io.Copy(io.Discard, rest) },
+	"close": func(_ answerConn, rest io.Reader) { _, _ = io.Copy(io.Discard, rest) },
 	// The server resets the connection while the request is still being written.
-	"reset": func(conn *net.TCPConn, _ io.Reader) {
+	"reset": func(conn answerConn, _ io.Reader) {
 		time.Sleep(resetDelay)
-		_ = conn.SetLinger(0)
+		_ = conn.tcp.SetLinger(0)
+		_ = conn.tcp.Close()
 	},
 	// The server ends its answer with the connection, and then reads the rest of the request.
-	"shutdown": func(conn *net.TCPConn, rest io.Reader) {
+	"shutdown": func(conn answerConn, rest io.Reader) {
 		_ = conn.CloseWrite()
 		time.Sleep(resetDelay)
 		_, _ = io.Copy(io.Discard, rest)
@@ -50,22 +62,27 @@
 // resetDelay is long enough for the client to read an answer and to fill the kernel's buffers.
 const resetDelay = 20 * time.Millisecond
 
-// serveAnswer answers all requests on all connections with the same bytes.
-func serveAnswer(listener net.Listener, c answerCase) {
+// serveAnswer answers all requests on all connections with the same bytes, over TLS unless the
+// configuration is nil.
+func serveAnswer(listener net.Listener, secure *tls.Config, c answerCase) {
 	for {
 		accepted, err := listener.Accept()
 		if err != nil {
 			return
 		}
 		go func() {
-			defer accepted.Close()
-			reader := bufio.NewReader(accepted)
+			conn := answerConn{Conn: accepted, tcp: accepted.(*net.TCPConn)}
+			if secure != nil {
+				conn.Conn = tls.Server(accepted, secure)
+			}
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
 			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			_, _ = io.WriteString(accepted, c.Reply)
-			answerEnds[c.Then](accepted.(*net.TCPConn), request.Body)
+			_, _ = io.WriteString(conn, c.Reply)
+			answerEnds[c.Then](conn, request.Body)
 		}()
 	}
 }
@@ -78,13 +95,22 @@
 		panic(err)
 	}
 	for _, c := range all {
-		It(c.Name+": "+c.Data.Pattern, func(ctx SpecContext) {
+		DescribeTable(c.Name+": "+c.Data.Pattern, func(ctx SpecContext, scheme string) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			Expect(err).NotTo(HaveOccurred())
 			defer listener.Close()
-			go serveAnswer(listener, c.Data)
+			client := rest.NewClient()
+			var secure *tls.Config
+			if scheme == "https" {
+				authority := httptest.NewUnstartedServer(nil)
+				authority.StartTLS()
+				defer authority.Close()
+				secure = authority.TLS
+				client.Transport.(*http.Transport).TLSClientConfig = authority.Client().Transport.(*http.Transport).TLSClientConfig
+			}
+			go serveAnswer(listener, secure, c.Data)
 			observed := 0
-			caller := rest.Caller{Base: "http://" + listener.Addr().String(), HTTP: rest.NewClient(), OnResponse: func(int, http.Header) { observed++ }}
+			caller := rest.Caller{Base: scheme + "://" + listener.Addr().String(), HTTP: client, OnResponse: func(int, http.Header) { observed++ }}
 			taken := 0
 			for range max(1, c.Data.Rounds) {
 				response, err := caller.Open(ctx, rest.Call{Method: http.MethodPost, Path: "/", Body: make([]byte, c.Data.UploadKiB<<10)})
@@ -114,6 +140,6 @@
 			if c.Data.Broken && c.Data.Then != "reset" {
 				Expect(observed).To(BeZero(), "nothing is learned from the head")
 			}
-		}, SpecTimeout(time.Minute))
+		}, Entry("plain", SpecTimeout(time.Minute), "http"), Entry("over TLS", SpecTimeout(time.Minute), "https"))
 	}
 })
--- a/internal/platform/rest/tracker.go
+++ b/internal/platform/rest/tracker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -291,32 +290,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.obtained, t.reused = true, info.Reused
-	t.conn = unwrapCounted(info.Conn)
+	t.conn, _ = info.Conn.(*countedConn)
 	if t.conn == nil {
 		return
 	}
 	t.start = t.conn.writeCount()
 	t.conn.setBeforeWrite(t.check.run)
 	t.conn.use()
-	if _, encrypted := info.Conn.(*tls.Conn); !encrypted {
-		t.conn.expectResponse()
-	}
+	t.conn.expectResponse()
 	stale := t.maxIdle != nil && info.IdleTime > t.maxIdle()
 	if info.Reused && (stale || unusable(t.conn.Conn)) {
-		// A write since the count above is the closing alert of TLS, not the request,
-		// which waits for this function to return.
-		t.start = t.conn.seal()
-	}
-}
-
-// unwrapCounted returns the countedConn below TLS, nil if there is none. TLS writes more
-// than the request, which may only turn "not sent" into "may have been sent".
-func unwrapCounted(connection net.Conn) *countedConn {
-	if secure, ok := connection.(*tls.Conn); ok {
-		connection = secure.NetConn()
+		t.start = t.conn.seal() // the request waits for this function to return
 	}
-	counted, _ := connection.(*countedConn)
-	return counted
 }
 
 // sent reports whether a byte of the failed request may have been sent. It is false if
--- a/internal/platform/rest/transport.go
+++ b/internal/platform/rest/transport.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -63,27 +64,63 @@
 		MaxIdleConnsPerHost:    idlePerHost,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
+	transport.DialTLSContext = countingDialTLS(dialer, transport)
 	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
 }
 
-// countingDial returns a dial function for connections that count their writes. Closing
-// such a connection discards data that was not delivered yet (SO_LINGER 0): a request that
-// was canceled must not reach its server later, when a partition heals.
-func countingDial(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+// dialFunc is the type of the dial functions of an http.Transport.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// countingDial returns a dial function for connections that count their writes and check the
+// heads of responses.
+func countingDial(dialer *net.Dialer) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		connection, err := dialer.DialContext(ctx, network, address)
+		connection, err := dialDiscarding(ctx, dialer, network, address)
 		if err != nil {
 			return nil, err
 		}
-		if tcp, ok := connection.(*net.TCPConn); ok {
-			if err := tcp.SetLinger(0); err != nil {
-				return nil, errors.Join(err, tcp.Close())
-			}
-		}
 		return &countedConn{Conn: connection}, nil
 	}
 }
 
+// countingDialTLS is countingDial for TLS, with the transport's TLSClientConfig. The
+// countedConn is above TLS, where it sees the bytes of requests and responses.
+func countingDialTLS(dialer *net.Dialer, transport *http.Transport) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		connection, err := dialDiscarding(ctx, dialer, network, address)
+		if err != nil {
+			return nil, err
+		}
+		config := cmp.Or(transport.TLSClientConfig.Clone(), &tls.Config{MinVersion: tls.VersionTLS12})
+		config.ServerName = cmp.Or(config.ServerName, host)
+		secure := tls.Client(connection, config)
+		if err := secure.HandshakeContext(ctx); err != nil {
+			return nil, errors.Join(err, connection.Close())
+		}
+		return &countedConn{Conn: secure}, nil
+	}
+}
+
+// dialDiscarding opens a connection. Closing it discards data that was not delivered yet
+// (SO_LINGER 0): a request that was canceled must not reach its server later, when a partition
+// heals.
+func dialDiscarding(ctx context.Context, dialer *net.Dialer, network, address string) (net.Conn, error) {
+	connection, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			return nil, errors.Join(err, tcp.Close())
+		}
+	}
+	return connection, nil
+}
+
 // withoutRedirects returns a copy of the client, or the shared client if nil, that follows
 // no redirect, since a redirect would send the request a second time, and has no cookies.
 func withoutRedirects(client *http.Client) *http.Client {
--- a/internal/platform/rest/unusable.go
+++ b/internal/platform/rest/unusable.go
@@ -1,6 +1,7 @@
 package rest
 
 import (
+	"crypto/tls"
 	"errors"
 	"net"
 	"syscall"
@@ -11,8 +12,11 @@
 // unusable reports whether an idle connection was closed by its server or holds
 // unsolicited bytes. A write to a closed connection may still succeed, so the call would
 // fail as possibly sent; unsolicited bytes would be read as the response to the next
-// request.
+// request. Bytes of TLS itself, such as an alert, count as well.
 func unusable(connection net.Conn) bool {
+	if secure, ok := connection.(*tls.Conn); ok {
+		connection = secure.NetConn()
+	}
 	socket, ok := connection.(syscall.Conn)
 	if !ok {
 		return false
