Never take the bytes after an answer for the answer to the next request

When a server sent more than its answer in one piece, such as a second answer or a body longer than its length, a caller whose request took over the connection at that moment got these bytes as its answer.

Cause: net/http offers a connection for reuse before it looks for bytes that follow the response. If a waiting request gets the connection in between, these bytes, which net/http has buffered, are read as its response.

A request now waits until net/http reads from its reused connection again, which it does only when it has no bytes left; otherwise it closes the connection, and the request, of which nothing was sent, goes to another one. Bytes that arrive on a reused connection before its request was written are a MalformedError.

The fake transport of a test reads from its connections now, as net/http does.

--- a/internal/platform/rest/rest_test.go
+++ b/internal/platform/rest/rest_test.go
@@ -45,6 +45,7 @@
 	go func() { _, _ = io.Copy(io.Discard, far) }()
 	if !t.uncounted {
 		near = &countedConn{Conn: near}
+		go func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }(near) // net/http reads from idle connections
 	}
 	t.conns = append(t.conns, near)
 	httptrace.ContextClientTrace(request.Context()).GotConn(httptrace.GotConnInfo{Conn: near, Reused: true})
--- a/internal/platform/rest/tracker.go
+++ b/internal/platform/rest/tracker.go
@@ -29,11 +29,16 @@
 	writing     int                 // writes under way
 	written     *sync.Cond          // signals the end of a write; set while Read waits for it
 	writeErr    error               // of the first write that failed
+	reading     bool                // a read is under way
+	closed      bool
+	unsent      bool       // the connection is reused for a request of which nothing was written
+	drained     *sync.Cond // signals that a read begins or the connection is closed; set while drain waits
 }
 
 // Read reads from the connection. net/http reads from idle connections too, and so notices their
 // end. After a write that failed it does not return io.EOF, but a *CutError.
 func (c *countedConn) Read(data []byte) (int, error) {
+	c.beginRead()
 	n, err := c.Conn.Read(data)
 	if errors.Is(err, io.EOF) {
 		if failed := c.writeFailure(); failed != nil {
@@ -45,12 +50,56 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
+	if n > 0 && c.unsent {
+		return 0, &MalformedError{Reason: "sent before its request"}
+	}
 	if malformed := c.head.check(data[:n]); malformed != nil {
 		return 0, malformed
 	}
 	return n, err
 }
 
+// beginRead records the begin of a read.
+func (c *countedConn) beginRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	c.signalDrained()
+}
+
+// Close closes the connection.
+func (c *countedConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.signalDrained()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// signalDrained ends the wait of drain. The caller holds c.mu.
+func (c *countedConn) signalDrained() {
+	if c.drained != nil {
+		c.drained.Broadcast()
+	}
+}
+
+// drain waits until net/http has no bytes left that arrived after the response to the earlier
+// request, and returns true. It would read them as the response to the next request, since it
+// offers a connection for reuse before it looks for them. It returns false if there were such
+// bytes, for which net/http closes the connection.
+func (c *countedConn) drain() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drained = sync.NewCond(&c.mu)
+	for !c.reading && !c.closed {
+		c.drained.Wait()
+	}
+	c.drained = nil
+	c.unsent = !c.closed
+	return c.unsent
+}
+
 // CutError says that a connection ended while the request was still being written, so that
 // the end of the connection is not the end of the response. Err is that of the write.
 type CutError struct {
@@ -127,8 +176,9 @@
 		c.idle = time.AfterFunc(time.Until(since.Add(grown)), func() { c.closeIdle(since, grown, limit) })
 		return nil
 	}
-	c.sealed = true
-	_ = c.Close() // nobody uses the connection
+	c.sealed, c.closed = true, true
+	c.signalDrained()
+	_ = c.Conn.Close() // nobody uses the connection
 	onIdleEnd, c.onIdleEnd = c.onIdleEnd, nil
 	return onIdleEnd
 }
@@ -182,6 +232,7 @@
 			return err
 		}
 	}
+	c.unsent = false
 	c.writes++
 	c.writing++
 	return nil
@@ -284,8 +335,8 @@
 }
 
 // gotConn is called by net/http before it writes the request to a connection. It seals a
-// reused connection that is unusable or was idle for too long, so that the request fails
-// unsent.
+// reused connection that is unusable, was idle for too long or holds bytes that are not the
+// response to the request, so that the request fails unsent.
 func (t *tracker) gotConn(info httptrace.GotConnInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -299,7 +350,7 @@
 	t.conn.use()
 	t.conn.expectResponse()
 	stale := t.maxIdle != nil && info.IdleTime > t.maxIdle()
-	if info.Reused && (stale || unusable(t.conn.Conn)) {
+	if info.Reused && (stale || unusable(t.conn.Conn) || !t.conn.drain()) {
 		t.start = t.conn.seal() // the request waits for this function to return
 	}
 }
