Don't close a connection that a call takes over while it becomes idle

A call that took over a connection just as the earlier call returned it was cut when the longest idle time had passed: "use of closed network connection", sent, so that a request that must not run twice ended with 502.

Cause: net/http tells of a connection that became idle after it has offered it to waiting calls. The timer for idle connections was then started although a call, which had stopped it before, was using the connection.

A call takes over a reused connection only once net/http reads from it again, which is after it told of the idle connection, and now stops the timer after that.

--- a/internal/platform/rest/sealed_test.go
+++ b/internal/platform/rest/sealed_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httptrace"
 	"syscall"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -43,4 +44,33 @@
 		trace.GotConn(httptrace.GotConnInfo{Conn: counted, Reused: true})
 		Expect(track.sent()).To(BeFalse())
 	})
+
+	// Guards against a call that is cut: the timer of the idle connection was started after the
+	// call had taken the connection over.
+	It("does not close a connection that is taken over while it becomes idle", func() {
+		near, far := net.Pipe()
+		defer far.Close()
+		counted := &countedConn{Conn: near}
+		maxIdle := func() time.Duration { return time.Millisecond }
+		earlier, later := tracker{maxIdle: maxIdle}, tracker{maxIdle: maxIdle}
+		earlier.gotConn(httptrace.GotConnInfo{Conn: counted})
+		taken := make(chan struct{})
+		go func() {
+			defer close(taken)
+			later.gotConn(httptrace.GotConnInfo{Conn: counted, Reused: true})
+		}()
+		Eventually(func() bool {
+			counted.mu.Lock()
+			defer counted.mu.Unlock()
+			return counted.drained != nil // the later request waits
+		}).Should(BeTrue())
+		earlier.putIdle(nil)
+		go func() { _, _ = counted.Read(make([]byte, 1)) }()
+		Eventually(taken).Should(BeClosed())
+		Consistently(func() bool {
+			counted.mu.Lock()
+			defer counted.mu.Unlock()
+			return counted.closed
+		}, 50*time.Millisecond).Should(BeFalse())
+	})
 })
--- a/internal/platform/rest/tracker.go
+++ b/internal/platform/rest/tracker.go
@@ -347,12 +347,12 @@
 	}
 	t.start = t.conn.writeCount()
 	t.conn.setBeforeWrite(t.check.run)
-	t.conn.use()
 	t.conn.expectResponse()
 	stale := t.maxIdle != nil && info.IdleTime > t.maxIdle()
 	if info.Reused && (stale || unusable(t.conn.Conn) || !t.conn.drain()) {
 		t.start = t.conn.seal() // the request waits for this function to return
 	}
+	t.conn.use() // after drain, and so after putIdle of the earlier request
 }
 
 // sent reports whether a byte of the failed request may have been sent. It is false if
