--- a/internal/host/node/callers.go
+++ b/internal/entry/callers/conn.go
@@ -1,4 +1,6 @@
-package node
+// Package callers serves HTTP to clients that may keep to no limit. It bounds their connections
+// and the memory of their requests and answers; package intake decides who is refused.
+package callers
 
 import (
 	"cmp"
@@ -23,47 +25,45 @@
 	// nothing holds the rest of its answer no longer than that.
 	answerPiece   = 64 << 10
 	answerTimeout = 20 * time.Second
-	// expiryInterval is the interval at which head and idle times are checked.
-	expiryInterval = 250 * time.Millisecond
 	// maxServerTimeout bounds the head and idle times that a configuration can set.
 	maxServerTimeout = 10 * time.Minute
 )
 
-// callerListener is the listener for callers, other hosts or probes. It bounds the number of
+// Listener is the listener for callers, other hosts or probes. It bounds the number of
 // connections.
-type callerListener struct {
+type Listener struct {
 	net.Listener
-	node        *Node
-	connections *intake.Connections
+	Server      *Server
+	Connections *intake.Connections
 }
 
 // Accept implements net.Listener.
-func (l callerListener) Accept() (net.Conn, error) {
+func (l Listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	accepted := &callerConn{Conn: conn, node: l.node}
+	accepted := &callerConn{Conn: conn, server: l.Server}
 	accepted.open, accepted.end = context.WithCancel(context.Background())
-	added, closed := l.connections.Add(time.Now(), func() {
+	added, closed := l.Connections.Add(time.Now(), func() {
 		accepted.end()
 		_ = conn.Close()
 	})
 	accepted.entry = added
 	if closed != nil {
-		l.node.CountRefusal(intake.ReasonConnections)
+		l.Server.refused(intake.ReasonConnections)
 		closed.Close()
 	}
 	return accepted, nil
 }
 
-// callerConn is a connection of a callerListener.
+// callerConn is a connection of a Listener.
 type callerConn struct {
 	net.Conn
-	node  *Node
-	entry *intake.Connection
-	open  context.Context // ends with the connection; net/http notices the end only when it reads
-	end   context.CancelFunc
+	server *Server
+	entry  *intake.Connection
+	open   context.Context // ends with the connection; net/http notices the end only when it reads
+	end    context.CancelFunc
 }
 
 // headTooLarge is the answer to a head that exceeds the limit. The server does not know of the
@@ -77,12 +77,12 @@
 		return n, err
 	}
 	within, evicted := c.entry.Receive(time.Now(), into[:n])
-	c.node.evict(evicted)
+	c.server.evict(evicted)
 	if !within {
-		c.node.CountRefusal(intake.ReasonHeadSize)
+		c.server.refused(intake.ReasonHeadSize)
 		_, _ = c.Write([]byte(headTooLarge))
 		_ = c.CloseWrite()
-		_ = c.SetReadDeadline(time.Now().Add(lingerTime)) // see RefuseIntake
+		_ = c.SetReadDeadline(time.Now().Add(lingerTime)) // see Refuse
 		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 		return 0, io.EOF
 	}
@@ -92,7 +92,7 @@
 // Write implements net.Conn. It fails when the caller accepts a piece of the data too slowly,
 // unless the host has no memory limit.
 func (c *callerConn) Write(data []byte) (int, error) {
-	if c.node.Settings.MemoryBytes <= 0 {
+	if c.server.Memory <= 0 {
 		return c.Conn.Write(data)
 	}
 	written := 0
@@ -128,11 +128,11 @@
 // connKey is the key of the callerConn in the context of a request.
 type connKey struct{}
 
-// callerServer returns the HTTP server for callers. Its own timeouts are above those that a
-// configuration may set, which expireConnections enforces.
-func (n *Node) callerServer(entry http.Handler) *http.Server {
+// HTTP returns the HTTP server for callers. Its own timeouts are above those of Limits, which
+// Expire enforces.
+func (s *Server) HTTP(entry http.Handler) *http.Server {
 	return &http.Server{
-		Handler: n.bounded(entry), ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout,
+		Handler: s.bounded(entry), ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			if c, ok := conn.(*callerConn); ok {
 				untilClosed, cancel := context.WithCancel(ctx)
@@ -149,9 +149,9 @@
 	}
 }
 
-// trackConn tells Connections of requests that don't come from callers. They are small, and
+// Track is the http.Server.ConnState of addresses for other hosts and probes. It tells Connections of requests that don't come from callers. They are small, and
 // their connections are not closed while one is under way.
-func trackConn(conn net.Conn, state http.ConnState) {
+func Track(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*callerConn)
 	switch {
 	case ok && state == http.StateActive:
@@ -164,7 +164,7 @@
 
 // bounded returns a handler that tells Connections of each request, and lets few of those go
 // on at a time that callers sent without waiting for the responses to earlier ones.
-func (n *Node) bounded(entry http.Handler) http.Handler {
+func (s *Server) bounded(entry http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, ok := r.Context().Value(connKey{}).(*callerConn)
 		if !ok {
@@ -172,20 +172,20 @@
 			return
 		}
 		pipelining := conn.entry.Begin()
-		n.evict(conn.entry.Hold(freeBytes(r.ContentLength)))
+		s.evict(conn.entry.Hold(freeBytes(r.ContentLength)))
 		if conn.entry.TakesTooMuch() {
-			n.RefuseIntake(w, r, &intake.RefusedError{Reason: intake.ReasonHeads, RetryAfter: intake.RetryAfter})
+			s.Refuse(w, r, &intake.RefusedError{Reason: intake.ReasonHeads, RetryAfter: intake.RetryAfter})
 			return
 		}
 		if r.ContentLength == 0 {
 			conn.entry.Arrive()
 		}
 		if pipelining {
-			if err := n.Intake.pipelined.Enter(r.Context(), intake.Caller{}); err != nil {
-				n.RefuseIntake(w, r, err)
+			if err := s.pipelined.Enter(r.Context(), intake.Caller{}); err != nil {
+				s.Refuse(w, r, err)
 				return
 			}
-			defer n.Intake.pipelined.Leave(intake.Caller{})
+			defer s.pipelined.Leave(intake.Caller{})
 		}
 		entry.ServeHTTP(w, r)
 	})
@@ -201,30 +201,31 @@
 }
 
 // evict closes connections whose requests take too much memory.
-func (n *Node) evict(connections []*intake.Connection) {
+func (s *Server) evict(connections []*intake.Connection) {
 	for _, conn := range connections {
-		n.CountRefusal(intake.ReasonHeads)
+		s.refused(intake.ReasonHeads)
 		conn.Close()
 	}
 }
 
-// expireConnections closes the connections whose head or idle time is over.
-func (n *Node) expireConnections(ctx context.Context) {
-	runEvery(ctx, expiryInterval, func() {
-		for conn, reason := range n.Intake.Connections.Expired(time.Now()) {
-			if reason == intake.ReasonHeadTime {
-				n.CountRefusal(reason)
-			}
-			conn.Close()
-			conn.Remove()
+// ExpiryInterval is the interval at which Expire should be called.
+const ExpiryInterval = 250 * time.Millisecond
+
+// Expire closes the connections whose head or idle time is over.
+func (s *Server) Expire() {
+	for conn, reason := range s.Connections.Expired(time.Now()) {
+		if reason == intake.ReasonHeadTime {
+			s.refused(reason)
 		}
-	})
+		conn.Close()
+		conn.Remove()
+	}
 }
 
-// listenCallers opens the socket for callers. Its connections inherit the size of the buffers.
-// Without a memory limit the kernel chooses it.
-func (n *Node) listenCallers(address string) (net.Listener, error) {
-	if n.Settings.MemoryBytes <= 0 {
+// Listen opens the socket for callers. Its connections inherit the size of the buffers. Without a
+// memory limit the kernel chooses it.
+func (s *Server) Listen(address string) (net.Listener, error) {
+	if s.Memory <= 0 {
 		return net.Listen("tcp", address)
 	}
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
--- a/internal/host/node/callers_test.go
+++ b/internal/host/node/callers_test.go
@@ -18,6 +18,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hyssopwall/hyssopwall/internal/entry/callers"
 	"github.com/hyssopwall/hyssopwall/internal/entry/intake"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
 	"github.com/hyssopwall/hyssopwall/internal/site/policy"
@@ -33,22 +34,24 @@
 	if limits != nil {
 		n.applyLimits(&policy.Policy{Limits: *limits})
 	}
-	listener, err := n.listenCallers("127.0.0.1:0")
+	listener, err := n.Intake.Listen("127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	server := n.callerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, release, err := n.ReadBody(w, r, intake.Caller{}, 1<<20)
+	server := n.Intake.HTTP(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, release, err := n.Intake.ReadBody(w, r, intake.Caller{}, 1<<20)
 		defer release()
 		if err != nil {
-			n.RefuseIntake(w, r, err)
+			n.Intake.Refuse(w, r, err)
 			return
 		}
-		n.WriteAnswer(w, r, intake.Caller{}, slices.Concat(body...))
+		n.Intake.WriteAnswer(w, r, intake.Caller{}, slices.Concat(body...))
 	}))
-	go func() { _ = server.Serve(callerListener{listener, n, &n.Intake.Connections}) }()
+	go func() {
+		_ = server.Serve(callers.Listener{Listener: listener, Server: &n.Intake.Server, Connections: &n.Intake.Connections})
+	}()
 	DeferCleanup(server.Close)
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
-	go n.expireConnections(ctx)
+	go runEvery(ctx, callers.ExpiryInterval, n.Intake.Expire)
 	return n, listener.Addr().String()
 }
 
@@ -98,7 +101,7 @@
 	// Guards against limits where nobody has set any.
 	It("have only the default times without a configuration and limits in the settings", func() {
 		n, address := serveCallers(Settings{}, nil)
-		Expect(n.maxConnections()).To(BeZero())
+		Expect(n.Intake.MaxConnections()).To(BeZero())
 		Expect(n.Batches.MaxOpenBytes).To(BeZero())
 		Expect(n.MaxDecoded()).To(Equal(int64(math.MaxInt64)))
 		conn := dialCaller(address)
@@ -133,7 +136,7 @@
 		fmt.Fprintf(waiting, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", 1<<20)
 		_, _ = waiting.Write(make([]byte, intake.FreeBytes))
 		Eventually(n.Intake.Bodies.Waiting, 5*time.Second).Should(Equal(1))
-		for range n.maxConnections() {
+		for range n.Intake.MaxConnections() {
 			dialCaller(address) // until the first one is closed for those after it
 		}
 		Eventually(n.Intake.Bodies.Waiting, 5*time.Second).Should(BeZero())
--- a/internal/host/node/run.go
+++ b/internal/host/node/run.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/hyssopwall/hyssopwall/internal/entry/callers"
 	"github.com/hyssopwall/hyssopwall/internal/platform/object"
 	"github.com/hyssopwall/hyssopwall/internal/rollout/batch"
 	"github.com/hyssopwall/hyssopwall/internal/site/event"
@@ -79,7 +80,7 @@
 		func() { n.fetchSuspects(ctx) },
 		func() { runEvery(ctx, silenceCheckInterval, n.checkSilentSends) },
 		func() { n.watchZones(ctx) },
-		func() { n.expireConnections(ctx) },
+		func() { runEvery(ctx, callers.ExpiryInterval, n.Intake.Expire) },
 	}
 	if n.Settings.EvacuationLimit > 0 {
 		loops = append(loops,
@@ -121,7 +122,7 @@
 		l   listeners
 		err error
 	)
-	if l.front, err = n.listenCallers(n.Settings.Listen); err != nil {
+	if l.front, err = n.Intake.Listen(n.Settings.Listen); err != nil {
 		return l, err
 	}
 	for _, listener := range []struct {
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/billing/tally"
+	"github.com/hyssopwall/hyssopwall/internal/entry/callers"
 	"github.com/hyssopwall/hyssopwall/internal/entry/forward"
 	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
 	"github.com/hyssopwall/hyssopwall/internal/entry/poison"
@@ -34,17 +35,25 @@
 // serve starts the HTTP servers for callers, the readiness check, other hosts and metrics.
 // It returns the one for callers.
 func (n *Node) serve(l listeners, entry http.Handler) *http.Server {
-	front := n.callerServer(entry)
+	front := n.Intake.HTTP(entry)
 	ready := probeServer(n.serveReady)
 	internal := &http.Server{
 		Handler: n.boundedPeers(n.internalHandler(), peer.MaxMessage), ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout,
-		MaxHeaderBytes: maxInternalHead, ConnState: trackConn,
+		MaxHeaderBytes: maxInternalHead, ConnState: callers.Track,
 	}
-	go func() { _ = front.Serve(callerListener{l.front, n, &n.Intake.Connections}) }() // ends with Shutdown
-	go func() { _ = ready.Serve(callerListener{l.ready, n, &n.Intake.probes}) }()      // this and the following ones end with the process
-	go func() { _ = internal.Serve(callerListener{l.internal, n, &n.Intake.peers}) }()
+	go func() {
+		_ = front.Serve(callers.Listener{Listener: l.front, Server: &n.Intake.Server, Connections: &n.Intake.Connections})
+	}() // ends with Shutdown
+	go func() {
+		_ = ready.Serve(callers.Listener{Listener: l.ready, Server: &n.Intake.Server, Connections: &n.Intake.probes})
+	}() // this and the following ones end with the process
+	go func() {
+		_ = internal.Serve(callers.Listener{Listener: l.internal, Server: &n.Intake.Server, Connections: &n.Intake.peers})
+	}()
 	metrics := probeServer(n.serveMetrics)
-	go func() { _ = metrics.Serve(callerListener{l.metrics, n, &n.Intake.probes}) }()
+	go func() {
+		_ = metrics.Serve(callers.Listener{Listener: l.metrics, Server: &n.Intake.Server, Connections: &n.Intake.probes})
+	}()
 	return front
 }
 
@@ -53,7 +62,7 @@
 func probeServer(handler http.HandlerFunc) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: maxInternalHead, ConnState: trackConn,
+		MaxHeaderBytes: maxInternalHead, ConnState: callers.Track,
 	}
 }
 
