Bound what callers may take of a host of hyssopwall serve

A host of hyssopwall serve that met 300 hostile callers, each with a body or a head of legal size, took 1.2 to 1.6 GB, and would have ended for its memory on most machines.

Cause: its server had net/http's limit of 1 MB a head and a limit of 2 MB a body, but none on all heads, bodies, connections or the time of a body. The bounds of package callers were joined to the platform's hosts only.

The host embeds callers.Server. Its limits follow from the new settings "memory" (1,024 MiB when absent) and "files"; bodies are read within the budget, which counts a body five times, since a request copies it, and is released when the request ends. serve sets the memory limit of the Go runtime.

--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -12,12 +12,13 @@
 
 	"github.com/hyssopwall/hyssopwall/internal/backend/engine"
 	"github.com/hyssopwall/hyssopwall/internal/backend/service"
+	"github.com/hyssopwall/hyssopwall/internal/entry/callers"
 	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
 	"github.com/hyssopwall/hyssopwall/internal/site/document"
 )
 
-// maxBody is the maximum size of a request body in bytes.
-const maxBody = 2 << 20
+// MaxBody is the maximum size of a request body in bytes.
+const MaxBody = 2 << 20
 
 // Call is an admitted request that has not been sent to a backend server yet. Key is the
 // caller's secret API key, used only to keep it out of the requests to backend servers.
@@ -56,6 +57,7 @@
 // CutOff returns the time since which the host has received no updates, zero while it is
 // not cut off. Ready returns an error, sent to the caller, while the host is not ready.
 type Server struct {
+	Callers    *callers.Server // bounds the memory of bodies and answers
 	Gate       *gate.Gate
 	Index      func() *document.Index
 	CutOff     func() time.Time
@@ -74,6 +76,7 @@
 	e.HideBanner = true
 	e.HidePort = true
 	e.HTTPErrorHandler = writeError
+	e.Use(s.releaseBody)
 	e.POST("/v1/completions", s.complete)
 	e.POST("/v1/chat/completions", s.chat)
 	e.GET("/v1/models", s.models)
--- a/internal/host/api/invoke.go
+++ b/internal/host/api/invoke.go
@@ -37,7 +37,8 @@
 	if err != nil {
 		return err
 	}
-	return writeResponse(c, response)
+	s.writeResponse(c, response)
+	return nil
 }
 
 // serviceRequest returns the request to forward, without the caller's key: header fields
@@ -61,7 +62,7 @@
 }
 
 // writeResponse writes the response of a plain service.
-func writeResponse(c echo.Context, response service.Response) error {
+func (s *Server) writeResponse(c echo.Context, response service.Response) {
 	header := c.Response().Header()
 	for name, values := range response.Header {
 		header[http.CanonicalHeaderKey(name)] = values
@@ -72,6 +73,5 @@
 	header.Set("Content-Length", strconv.Itoa(len(response.Body)))
 	header.Set(requestIDHeader, response.ID)
 	c.Response().WriteHeader(response.Status)
-	_, err := c.Response().Write(response.Body)
-	return err
+	s.Callers.WriteAnswer(c.Response(), c.Request(), callerOf(c), response.Body)
 }
--- a/internal/host/api/write.go
+++ b/internal/host/api/write.go
@@ -3,14 +3,18 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
+
+	"github.com/hyssopwall/hyssopwall/internal/entry/callers"
+	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
+	"github.com/hyssopwall/hyssopwall/internal/entry/intake"
 )
 
 // errorBody is the body of every error response.
@@ -62,17 +66,51 @@
 	}
 }
 
-// readBody reads a request body of at most maxBody bytes.
+// heldBody is the key of the body in the context of a request.
+const heldBody = "body"
+
+// bodyHolder holds the memory of a request's body until the request ends.
+type bodyHolder struct {
+	callers *callers.Server
+	release func() // nil before the body is read
+}
+
+// releaseBody is middleware for requests that read their body with readBody.
+func (s *Server) releaseBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		held := &bodyHolder{callers: s.Callers}
+		c.Set(heldBody, held)
+		defer func() {
+			if held.release != nil {
+				held.release()
+			}
+		}()
+		return next(c)
+	}
+}
+
+// callerOf returns the sender of a request.
+func callerOf(c echo.Context) intake.Caller {
+	return callers.CallerOf(c.Request(), gate.KeyFromHeader(c.Request().Header))
+}
+
+// readBody reads a request body of at most MaxBody bytes, whose memory is held until the request
+// ends.
 func readBody(c echo.Context) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBody))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, Refuse(TooLarge, "the body is larger than 2 MiB")
+	held, _ := c.Get(heldBody).(*bodyHolder)
+	parts, release, err := held.callers.ReadBody(c.Response(), c.Request(), callerOf(c), MaxBody)
+	held.release = release
+	if err == nil {
+		return slices.Concat(parts...), nil
 	}
-	if err != nil {
-		return nil, Refuse(BadRequest, "the body could not be read")
+	c.Response().Header().Set("Connection", "close") // the rest of the body may still be under way
+	if refused, ok := errors.AsType[*intake.RefusedError](err); ok {
+		return nil, RefuseFor(Overloaded, "the host has no memory for the body", refused.RetryAfter)
+	}
+	if _, large := errors.AsType[*intake.TooLargeError](err); large {
+		return nil, Refuse(TooLarge, "the body is larger than 2 MiB")
 	}
-	return body, nil
+	return nil, Refuse(BadRequest, "the body could not be read")
 }
 
 // checked is a request body that can check its fields.
--- a/internal/host/command/serve.go
+++ b/internal/host/command/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/hyssopwall/hyssopwall/internal/fleet/identity"
@@ -10,6 +11,10 @@
 	"github.com/hyssopwall/hyssopwall/internal/site/settings"
 )
 
+// memoryLimitShare is the share of the host's memory that the Go runtime aims to stay within. The
+// rest is for what it does not count, such as the kernel's buffers for connections.
+const memoryLimitShare = 0.6
+
 // serveCommand is "serve": it runs the host process.
 type serveCommand struct {
 	Settings string `required:"" type:"existingfile" help:"The settings file of this host."`
@@ -23,6 +28,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(config.MemoryBytes())))
 	log := event.Log{}
 	files := identity.Files{Certificate: config.Certificate, Key: config.Key, Authorities: config.Authority}
 	source, err := identity.Open(files, time.Now, log)
--- a/internal/host/server/server.go
+++ b/internal/host/server/server.go
@@ -17,7 +17,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hyssopwall/hyssopwall/internal/billing/burn"
-
+	"github.com/hyssopwall/hyssopwall/internal/entry/callers"
 	"github.com/hyssopwall/hyssopwall/internal/entry/gate"
 	"github.com/hyssopwall/hyssopwall/internal/entry/poison"
 	"github.com/hyssopwall/hyssopwall/internal/entry/quota"
@@ -46,8 +46,14 @@
 	"github.com/hyssopwall/hyssopwall/internal/site/settings"
 )
 
-// headerTimeout limits the wait for the headers of a request.
-const headerTimeout = 10 * time.Second
+// Limits of callers.
+const (
+	headerTimeout = 10 * time.Second // for reading the headers of a request
+	idleTimeout   = 2 * time.Minute  // of a connection between two requests
+	// bodyCopies is the number of copies of its body that a request has: as it arrived, joined,
+	// decoded, and on the way to the home and the backend server.
+	bodyCopies = 5
+)
 
 // Config is the configuration of a host.
 type Config struct {
@@ -68,6 +74,7 @@
 	listener   net.Listener
 	httpServer *http.Server
 
+	callers  callers.Server
 	gate     gate.Gate
 	quota    quota.Limiter
 	poison   poison.SuspectTable
@@ -87,6 +94,8 @@
 	draining atomic.Bool
 	vars     expvar.Map
 	requests expvar.Map
+	refused  expvar.Map   // requests and connections that were refused to protect the host, by reason
+	refusal  atomic.Int64 // time of the latest one in nanoseconds, zero for none
 
 	incarnation uint64 // time of the start in nanoseconds; grows with each start unless the clock is set back
 	ctx         context.Context
@@ -108,7 +117,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for hosts: %w", err)
 	}
-	s.listener, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", config.Settings.Listen)
+	s.callers.Memory, s.callers.Files, s.callers.OnRefusal = config.Settings.MemoryBytes(), config.Settings.Files, s.countRefusal
+	s.callers.SetLimits(callers.Limits{BodyBytes: api.MaxBody, BodyCopies: bodyCopies, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout})
+	s.listener, err = s.callers.Listen(config.Settings.Listen)
 	if err != nil {
 		_ = s.endpoint.Close()
 		return nil, fmt.Errorf("listen for callers: %w", err)
@@ -150,11 +161,12 @@
 		Gate: &s.gate, Fleet: s.peers, Endpoint: s.endpoint, Meter: s.metering, Observe: s.recordStep, Log: s.config.Log,
 	})
 	handler := (&api.Server{
-		Gate: &s.gate, Index: s.index.Load, CutOff: s.peers.cutOffSince, Now: time.Now,
+		Callers: &s.callers,
+		Gate:    &s.gate, Index: s.index.Load, CutOff: s.peers.cutOffSince, Now: time.Now,
 		Dispatcher: s.dispatch, Steps: s.steps, Ready: s.ready, Vars: &s.vars,
 		Status: func() any { return s.Status() }, Burn: s.burnSnapshot,
 	}).Handler()
-	s.httpServer = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	s.httpServer = s.callers.HTTP(handler)
 }
 
 // startLoops starts the background goroutines and the HTTP server.
@@ -167,8 +179,9 @@
 	s.loops.Go(func() { s.leases.Run(ctx) })
 	s.loops.Go(func() { s.claims.Run(ctx) })
 	s.loops.Go(func() { s.metering.Run(ctx) })
+	s.loops.Go(func() { s.expireConnections(ctx) })
 	s.loops.Go(func() {
-		if err := s.httpServer.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.httpServer.Serve(callers.Listener{Listener: s.listener, Server: &s.callers, Connections: &s.callers.Connections}); !errors.Is(err, http.ErrServerClosed) {
 			s.cancel()
 		}
 	})
--- a/internal/site/settings/settings.go
+++ b/internal/site/settings/settings.go
@@ -4,6 +4,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"net/url"
@@ -14,6 +15,9 @@
 	"github.com/hyssopwall/hyssopwall/internal/site/form"
 )
 
+// DefaultMemory is the memory of a host for which the settings give none, in MiB.
+const DefaultMemory = 1024
+
 // DefaultDrainTimeout is the time that a planned stop waits for requests to end.
 const DefaultDrainTimeout = 30 * time.Second
 
@@ -22,7 +26,9 @@
 // the members of the zone are known. Platform is the platform's URL. Authority,
 // Certificate and Key are the paths of PEM files. Relative paths are resolved against the
 // folder of the settings file. With an empty DataFolder the host stores nothing on disk. A
-// zero DrainTimeout means DefaultDrainTimeout.
+// zero DrainTimeout means DefaultDrainTimeout. Memory is that of the host in MiB, zero for
+// DefaultMemory, and Files the number of its descriptors, zero for no limit; they bound what
+// callers may take.
 type Settings struct {
 	Host         string        `json:"host"`
 	Zone         string        `json:"zone"`
@@ -35,8 +41,13 @@
 	Peers        []string      `json:"peers,omitempty"`
 	DataFolder   string        `json:"folder,omitempty"`
 	DrainTimeout form.Duration `json:"drain,omitempty"`
+	Memory       int64         `json:"memory,omitempty"`
+	Files        int           `json:"files,omitempty"`
 }
 
+// MemoryBytes returns the memory of the host in bytes.
+func (s Settings) MemoryBytes() int64 { return cmp.Or(s.Memory, DefaultMemory) << 20 }
+
 // Load reads and checks a settings file and resolves its relative paths. Invalid settings
 // are reported as a *form.ProblemsError. The files that the settings name are not read.
 func Load(path string) (Settings, error) {
@@ -62,6 +73,7 @@
 	s.checkNames(report)
 	s.checkAddresses(report)
 	s.checkPaths(report)
+	s.checkLimits(report)
 }
 
 func (s *Settings) checkNames(report *form.Report) {
@@ -105,6 +117,19 @@
 	}
 }
 
+// minMemory is the least memory of a host in MiB.
+const minMemory = 96
+
+// checkLimits reports limits that no host can keep.
+func (s *Settings) checkLimits(report *form.Report) {
+	if s.Memory != 0 && s.Memory < minMemory {
+		report.Add("/memory", fmt.Sprintf("is %d MiB", s.Memory), fmt.Sprintf("give the host %d MiB or more, or leave it out for %d", minMemory, DefaultMemory))
+	}
+	if s.Files < 0 {
+		report.Add("/files", "is negative", "write the number of descriptors of the process, or leave it out for no limit")
+	}
+}
+
 // resolvePaths returns the settings with relative paths joined to folder.
 func (s Settings) resolvePaths(folder string) Settings {
 	for _, path := range []*string{&s.Authority, &s.Certificate, &s.Key, &s.DataFolder} {
