Answer refused requests of hyssopwall serve in the shape of all errors

A caller whose request was refused for memory got 503 without the body that docs/API.md promises for every error, or, when its body was too much, an answer that was not counted among the refusals.

Cause: package callers wrote the response of the platform's pages for all hosts, and the interface wrote one of its own when a body was refused.

The host now gives callers.Server the function that writes its refusals, and all refusals go through callers.Server.Refuse.

The spec of writes before a request has no words of TLS any more, which lies below the connection that it checks.

--- a/internal/entry/callers/conn.go
+++ b/internal/entry/callers/conn.go
@@ -149,8 +149,9 @@
 	}
 }
 
-// Track is the http.Server.ConnState of addresses for other hosts and probes. It tells Connections of requests that don't come from callers. They are small, and
-// their connections are not closed while one is under way.
+// Track is the http.Server.ConnState of addresses for other hosts and probes. It tells
+// Connections of their requests, which are small, so that a connection is not closed while one
+// is under way.
 func Track(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*callerConn)
 	switch {
--- a/internal/entry/callers/server.go
+++ b/internal/entry/callers/server.go
@@ -50,6 +50,9 @@
 	Memory    int64               // of the host in bytes, zero for no limit
 	Files     int                 // descriptors of the host, zero for no limit
 	OnRefusal func(reason string) // called when a request is refused or a connection is closed to protect the host; may be nil
+	// WriteRefusal, if set, writes the response to a refused request, which has not run, in place
+	// of one with status 503, Retry-After and no body.
+	WriteRefusal func(w http.ResponseWriter, refused *intake.RefusedError)
 
 	pipelined intake.Turns
 }
@@ -127,12 +130,17 @@
 // run. The connection is closed: its caller may still be sending.
 func (s *Server) Refuse(w http.ResponseWriter, r *http.Request, err error) {
 	w.Header().Set("Connection", "close")
-	if refused, ok := errors.AsType[*intake.RefusedError](err); ok { // otherwise the caller is gone
+	refused, ok := errors.AsType[*intake.RefusedError](err) // otherwise the caller is gone
+	if ok {
 		s.refused(refused.Reason)
 		w.Header().Set("Retry-After", strconv.FormatFloat(refused.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	w.Header().Set("Content-Length", "0") // so that the response ends before the rest of the body is read
-	w.WriteHeader(http.StatusServiceUnavailable)
+	if ok && s.WriteRefusal != nil {
+		s.WriteRefusal(w, refused)
+	} else {
+		w.Header().Set("Content-Length", "0") // so that the response ends before the rest of the body is read
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
 	// A connection that is closed with unread data is reset, and the caller may lose the
 	// response. An error only shortens the time for reading it.
 	control := http.NewResponseController(w)
--- a/internal/host/api/write.go
+++ b/internal/host/api/write.go
@@ -43,11 +43,30 @@
 		return
 	}
 	e := toAPIError(err)
+	setRetryAfter(c.Response().Header(), e)
+	_ = c.JSON(e.Code.Status(), newErrorBody(e)) // fails only when the caller has disconnected
+}
+
+// WriteRefusal answers a request that package callers refuses before it has run. It is the
+// callers.Server.WriteRefusal of a host.
+func WriteRefusal(w http.ResponseWriter, refused *intake.RefusedError) {
+	e := RefuseFor(Overloaded, "the host has no memory for the request: "+refused.Reason, refused.RetryAfter)
+	body, err := json.Marshal(newErrorBody(e))
+	if err != nil {
+		body = nil // impossible for strings and booleans
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	setRetryAfter(w.Header(), e)
+	w.WriteHeader(e.Code.Status())
+	_, _ = w.Write(body) // fails only when the caller has disconnected
+}
+
+// setRetryAfter sets the Retry-After of an error, in full seconds.
+func setRetryAfter(header http.Header, e *Error) {
 	if e.RetryAfter > 0 {
-		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
-		c.Response().Header().Set("Retry-After", strconv.Itoa(seconds))
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
-	_ = c.JSON(e.Code.Status(), newErrorBody(e)) // fails only when the caller has disconnected
 }
 
 // toAPIError returns the *Error for an error of a handler or of echo itself.
@@ -103,10 +122,12 @@
 	if err == nil {
 		return slices.Concat(parts...), nil
 	}
-	c.Response().Header().Set("Connection", "close") // the rest of the body may still be under way
 	if refused, ok := errors.AsType[*intake.RefusedError](err); ok {
-		return nil, RefuseFor(Overloaded, "the host has no memory for the body", refused.RetryAfter)
+		release() // before the rest of the body is discarded
+		held.callers.Refuse(c.Response(), c.Request(), err)
+		return nil, RefuseFor(Overloaded, refused.Reason, refused.RetryAfter) // the response is sent
 	}
+	c.Response().Header().Set("Connection", "close") // the rest of the body may still be under way
 	if _, large := errors.AsType[*intake.TooLargeError](err); large {
 		return nil, Refuse(TooLarge, "the body is larger than 2 MiB")
 	}
--- a/internal/host/server/server.go
+++ b/internal/host/server/server.go
@@ -118,6 +118,7 @@
 		return nil, fmt.Errorf("listen for hosts: %w", err)
 	}
 	s.callers.Memory, s.callers.Files, s.callers.OnRefusal = config.Settings.MemoryBytes(), config.Settings.Files, s.countRefusal
+	s.callers.WriteRefusal = api.WriteRefusal
 	s.callers.SetLimits(callers.Limits{BodyBytes: api.MaxBody, BodyCopies: bodyCopies, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout})
 	s.listener, err = s.callers.Listen(config.Settings.Listen)
 	if err != nil {
--- a/internal/platform/rest/sealed_test.go
+++ b/internal/platform/rest/sealed_test.go
@@ -12,20 +12,19 @@
 	. "github.com/onsi/gomega"
 )
 
-// alertingConn calls alert while its state is checked. The test writes to the counted
-// connection in it, as TLS does when its reading goroutine sends a closing alert.
-type alertingConn struct {
+// checkedConn calls onCheck while its state is checked.
+type checkedConn struct {
 	net.Conn
-	alert func()
+	onCheck func()
 }
 
-func (a alertingConn) SyscallConn() (syscall.RawConn, error) {
-	a.alert()
+func (a checkedConn) SyscallConn() (syscall.RawConn, error) {
+	a.onCheck()
 	return a.Conn.(syscall.Conn).SyscallConn()
 }
 
 var _ = Describe("a tracker", func() {
-	It("does not count the closing alert of TLS as a byte of the request", func() {
+	It("does not count a write before the request as one of the request", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		defer listener.Close()
@@ -38,7 +37,7 @@
 		Expect(err).To(MatchError(io.EOF))
 
 		counted := &countedConn{}
-		counted.Conn = alertingConn{Conn: near, alert: func() { _, _ = counted.Write([]byte("bye")) }}
+		counted.Conn = checkedConn{Conn: near, onCheck: func() { _, _ = counted.Write([]byte("bye")) }}
 		var track tracker
 		trace := httptrace.ContextClientTrace(track.trace(context.Background()))
 		trace.GotConn(httptrace.GotConnInfo{Conn: counted, Reused: true})
