--- a/internal/entry/callers/server.go
+++ b/internal/entry/callers/server.go
@@ -39,17 +39,19 @@
 // connection is closed while memory is short.
 const answerPatience = time.Second
 
-// Server bounds what callers may take of a host. The zero value has no limits. Memory and Files
-// must not change once it serves.
+// Server bounds what callers may take of a host. SetLimits must be called before it serves, and
+// Memory and Files must not change after that.
 type Server struct {
 	Bodies      intake.Budget // request bodies that arrive or are under way
 	Answers     intake.Budget // answers on their way to callers
 	Connections intake.Connections
 	Requests    intake.Turns // requests under way
 
-	Memory    int64               // of the host in bytes, zero for no limit
-	Files     int                 // descriptors of the host, zero for no limit
-	OnRefusal func(reason string) // called when a request is refused or a connection is closed to protect the host; may be nil
+	Memory int64 // of the host in bytes, zero for no limit
+	Files  int   // descriptors of the host, zero for no limit
+	// OnRefusal, if set, is called with the reason when a request is refused or a connection is
+	// closed to protect the host.
+	OnRefusal func(reason string)
 	// WriteRefusal, if set, writes the response to a refused request, which has not run, in place
 	// of one with status 503, Retry-After and no body.
 	WriteRefusal func(w http.ResponseWriter, refused *intake.RefusedError)
